--- /dev/null
+++ b/cmd/fulmarhoistctl/main.go
@@ -0,0 +1,4 @@
+// Command fulmarhoistctl is the tool for operators and callers.
+package main
+
+func main() {}
--- /dev/null
+++ b/contract/ledger.go
@@ -0,0 +1,195 @@
+package contract
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// EpochLength is the time after which a new ticket epoch starts.
+	EpochLength = time.Minute
+	// EpochsKept is the number of epochs, with the current one, whose tickets
+	// are honored. Together with EpochLength it gives callers 14 to 15 minutes.
+	EpochsKept = 15
+	// MaxAnswerBytes is the largest body that is kept to be replayed.
+	MaxAnswerBytes = 64 << 10
+	// MaxLedgerBytes bounds the bodies kept by one ledger. Beyond it the
+	// outcome of a request is kept without its body.
+	MaxLedgerBytes = 64 << 20
+)
+
+// Answer is the recorded end of a request.
+type Answer struct {
+	Refusal     *Refusal // nil if a target answered
+	Status      int
+	Header      map[string][]string
+	Body        []byte
+	BodyDropped bool // the body was too large to keep
+}
+
+// Entry is the record of one key. The goroutine that opened it settles it; any
+// number of others wait on Done and then read Answer.
+type Entry struct {
+	done   chan struct{}
+	answer atomic.Pointer[Answer]
+}
+
+// Done is closed when the entry is settled.
+func (e *Entry) Done() <-chan struct{} { return e.done }
+
+// Answer returns the recorded answer, or nil if the entry is not settled.
+func (e *Entry) Answer() *Answer { return e.answer.Load() }
+
+// NotOwnerError reports a key whose ticket belongs to another incarnation.
+type NotOwnerError struct {
+	Ticket Ticket
+}
+
+func (e *NotOwnerError) Error() string {
+	return fmt.Sprintf("ticket %s belongs to another incarnation", e.Ticket)
+}
+
+// epochTable holds the keys of one epoch. Bytes counts the kept bodies.
+type epochTable struct {
+	epoch   uint64
+	entries sync.Map // key text to *Entry
+	bytes   atomic.Int64
+}
+
+// Ledger remembers every key that this incarnation was asked to run, until the
+// key's ticket expires. It is safe for concurrent use: the list of tables is an
+// immutable slice, replaced whole by compare-and-swap.
+type Ledger struct {
+	instance    string
+	incarnation uint64
+	started     time.Time
+	tables      atomic.Pointer[[]*epochTable] // ascending epochs, newest last
+	bytes       atomic.Int64
+}
+
+// NewLedger returns the ledger of an incarnation that started at the given
+// time. Times passed to its methods must come from the same clock, which must
+// not go backwards.
+func NewLedger(instance string, incarnation uint64, started time.Time) *Ledger {
+	l := &Ledger{instance: instance, incarnation: incarnation, started: started}
+	l.tables.Store(&[]*epochTable{{epoch: 0}})
+	return l
+}
+
+// Ticket returns the newest ticket of this incarnation.
+func (l *Ledger) Ticket(now time.Time) Ticket {
+	return Ticket{Instance: l.instance, Incarnation: l.incarnation, Epoch: l.epochAt(now)}
+}
+
+// Open returns the entry of a key. The result first is true for exactly one
+// caller per key: that caller may run the request and must call Settle. All
+// others wait for its outcome.
+func (l *Ledger) Open(now time.Time, key Key) (entry *Entry, first bool, err error) {
+	if key.Ticket.Instance != l.instance || key.Ticket.Incarnation != l.incarnation {
+		return nil, false, &NotOwnerError{key.Ticket}
+	}
+	table, err := l.table(now, key.Ticket.Epoch)
+	if err != nil {
+		return nil, false, err
+	}
+	if found, ok := table.entries.Load(key.Name); ok {
+		return found.(*Entry), false, nil
+	}
+	fresh := &Entry{done: make(chan struct{})}
+	found, loaded := table.entries.LoadOrStore(key.Name, fresh)
+	return found.(*Entry), !loaded, nil
+}
+
+// Settle records the outcome of an entry that Open returned as first, and wakes
+// everyone who waits for it. A body that does not fit is dropped; the outcome is
+// kept.
+func (l *Ledger) Settle(key Key, entry *Entry, answer Answer) {
+	size := int64(len(answer.Body))
+	table := l.tableFor(key.Ticket.Epoch)
+	if table == nil || size > MaxAnswerBytes || !l.reserve(size) {
+		answer.BodyDropped = size > 0
+		answer.Body = nil
+	} else {
+		table.bytes.Add(size)
+	}
+	entry.answer.Store(&answer)
+	close(entry.done)
+}
+
+// reserve takes room for a body if the ledger has it.
+func (l *Ledger) reserve(size int64) bool {
+	for {
+		used := l.bytes.Load()
+		if used+size > MaxLedgerBytes {
+			return false
+		}
+		if l.bytes.CompareAndSwap(used, used+size) {
+			return true
+		}
+	}
+}
+
+func (l *Ledger) epochAt(now time.Time) uint64 {
+	return uint64(max(0, now.Sub(l.started)) / EpochLength)
+}
+
+// table returns the table of a ticket's epoch, after it moved the list of
+// tables on to the current epoch.
+func (l *Ledger) table(now time.Time, epoch uint64) (*epochTable, error) {
+	current := l.advance(now)
+	if epoch > current {
+		return nil, &FieldError{Field: "request key", Problem: "holds a ticket of an epoch that has not started"}
+	}
+	if found := l.tableFor(epoch); found != nil {
+		return found, nil
+	}
+	return nil, &Refusal{Outcome: OutcomeTooOld, Reason: ReasonExpiredTicket}
+}
+
+func (l *Ledger) tableFor(epoch uint64) *epochTable {
+	for _, table := range *l.tables.Load() {
+		if table.epoch == epoch {
+			return table
+		}
+	}
+	return nil
+}
+
+// advance adds tables up to the current epoch and drops the expired ones whole.
+func (l *Ledger) advance(now time.Time) uint64 {
+	for {
+		old := l.tables.Load()
+		newest := (*old)[len(*old)-1].epoch
+		current := max(newest, l.epochAt(now))
+		if current == newest {
+			return current
+		}
+		next := make([]*epochTable, 0, EpochsKept)
+		for _, table := range *old {
+			if table.epoch+EpochsKept > current {
+				next = append(next, table)
+			}
+		}
+		first := newest + 1
+		if current >= EpochsKept {
+			first = max(first, current-EpochsKept+1)
+		}
+		for epoch := first; epoch <= current; epoch++ {
+			next = append(next, &epochTable{epoch: epoch})
+		}
+		if l.tables.CompareAndSwap(old, &next) {
+			l.releaseExpired(*old, current)
+			return current
+		}
+	}
+}
+
+func (l *Ledger) releaseExpired(tables []*epochTable, current uint64) {
+	for _, table := range tables {
+		if table.epoch+EpochsKept <= current {
+			l.bytes.Add(-table.bytes.Load())
+		}
+	}
+}
--- /dev/null
+++ b/contract/ticket.go
@@ -0,0 +1,67 @@
+package contract
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// MaxKeyBytes bounds the textual form of a key.
+const MaxKeyBytes = 256
+
+// Ticket is the right to run non-idempotent requests on one incarnation of one
+// entry instance. No other process may run a request whose key holds it.
+type Ticket struct {
+	Instance    string
+	Incarnation uint64
+	Epoch       uint64
+}
+
+func (t Ticket) String() string {
+	return fmt.Sprintf("%s.%016x.%d", t.Instance, t.Incarnation, t.Epoch)
+}
+
+// Key identifies a non-idempotent request. A caller sends the same key each
+// time it sends the same request again.
+type Key struct {
+	Ticket Ticket
+	Name   string
+}
+
+func (k Key) String() string { return k.Ticket.String() + "/" + k.Name }
+
+// IsZero tells whether the request has no key.
+func (k Key) IsZero() bool { return k.Name == "" }
+
+// ParseTicket reads the textual form of a ticket, "instance.incarnation.epoch".
+func ParseTicket(text string) (Ticket, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 3 || parts[0] == "" {
+		return Ticket{}, &FieldError{Field: "ticket", Problem: "is not of the form instance.incarnation.epoch"}
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 16, 64)
+	if err != nil {
+		return Ticket{}, &FieldError{Field: "ticket", Problem: "has an incarnation that is not a hexadecimal number"}
+	}
+	epoch, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil {
+		return Ticket{}, &FieldError{Field: "ticket", Problem: "has an epoch that is not a number"}
+	}
+	return Ticket{Instance: parts[0], Incarnation: incarnation, Epoch: epoch}, nil
+}
+
+// ParseKey reads the textual form of a key, "ticket/name".
+func ParseKey(text string) (Key, error) {
+	if len(text) > MaxKeyBytes {
+		return Key{}, &FieldError{Field: "request key", Problem: fmt.Sprintf("is longer than %d bytes", MaxKeyBytes)}
+	}
+	ticketText, name, found := strings.Cut(text, "/")
+	if !found || name == "" {
+		return Key{}, &FieldError{Field: "request key", Problem: "is not of the form ticket/name"}
+	}
+	ticket, err := ParseTicket(ticketText)
+	if err != nil {
+		return Key{}, fmt.Errorf("request key: %w", err)
+	}
+	return Key{Ticket: ticket, Name: name}, nil
+}
--- /dev/null
+++ b/target/target.go
@@ -0,0 +1,240 @@
+// Package target models one server of a service: its admission limit, the
+// requests in flight to it, its state, and the estimate of its response time.
+//
+// A Target is shared by all request goroutines. Admission, release and changes
+// of state are compare-and-swap operations on one word, so that a restart of
+// the server lowers the limit before another request can be admitted. The
+// package starts no goroutine, does no I/O, and takes time from its caller.
+package target
+
+import (
+	"fmt"
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// State is what an entry instance believes about a target.
+type State uint8
+
+const (
+	// StateCold admits nothing without leave from the other instances.
+	StateCold State = iota
+	// StateWarming admits a limit that grows with each window of answers.
+	StateWarming
+	// StateWarm admits up to the slots of the server.
+	StateWarm
+	// StateLeaving admits nothing; requests in flight end normally.
+	StateLeaving
+)
+
+var stateNames = [...]string{"cold", "warming", "warm", "leaving"}
+
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return fmt.Sprintf("state(%d)", uint8(s))
+}
+
+// The word holds, from the lowest bit: in flight (16), limit (12), state (4),
+// generation (32).
+const (
+	limitShift      = 16
+	stateShift      = 28
+	generationShift = 32
+	inFlightMask    = 1<<16 - 1
+	limitMask       = 1<<12 - 1
+	stateMask       = 1<<4 - 1
+	maxLimit        = limitMask
+)
+
+type word uint64
+
+func pack(generation uint32, state State, limit, inFlight int) word {
+	limit = min(max(limit, 0), maxLimit)
+	return word(generation)<<generationShift | word(state)<<stateShift | word(limit)<<limitShift | word(inFlight)
+}
+
+func (w word) inFlight() int      { return int(w & inFlightMask) }
+func (w word) limit() int         { return int(w >> limitShift & limitMask) }
+func (w word) state() State       { return State(w >> stateShift & stateMask) }
+func (w word) generation() uint32 { return uint32(w >> generationShift) }
+
+// Spec is the fixed description of a target.
+type Spec struct {
+	Name    string
+	Address string
+	Zone    string
+	Slots   int
+	// Links is how many connections one instance may hold to the target.
+	Links int
+}
+
+// Permit is the right to send one request. It is released exactly once.
+type Permit struct {
+	Target     *Target
+	Generation uint32
+}
+
+// Target is one server as one entry instance sees it.
+type Target struct {
+	Spec Spec
+
+	word      atomic.Uint64
+	service   atomic.Uint64 // smoothed response time in seconds, as float64 bits
+	peerLoad  atomic.Uint64 // requests in flight from other instances, as float64 bits
+	peerAt    atomic.Int64  // time of peerLoad, Unix nanoseconds
+	failures  atomic.Uint32 // consecutive failures
+	blockedTo atomic.Int64  // no new work before this time, Unix nanoseconds
+}
+
+// defaultServiceTime is the estimate before the first answer.
+const defaultServiceTime = 20 * time.Millisecond
+
+// New returns a cold target that admits nothing.
+func New(spec Spec) *Target {
+	t := &Target{Spec: spec}
+	t.word.Store(uint64(pack(1, StateCold, 0, 0)))
+	t.service.Store(math.Float64bits(defaultServiceTime.Seconds()))
+	return t
+}
+
+// State returns the state and the generation it belongs to.
+func (t *Target) State() (State, uint32) {
+	w := word(t.word.Load())
+	return w.state(), w.generation()
+}
+
+// InFlight returns the requests that this instance has in flight at the target.
+func (t *Target) InFlight() int { return word(t.word.Load()).inFlight() }
+
+// Limit returns how many requests this instance may have in flight.
+func (t *Target) Limit() int { return word(t.word.Load()).limit() }
+
+// Admit takes a permit if the limit allows one more request.
+func (t *Target) Admit(now time.Time) (Permit, bool) {
+	if now.UnixNano() < t.blockedTo.Load() {
+		return Permit{}, false
+	}
+	for {
+		w := word(t.word.Load())
+		if w.inFlight() >= w.limit() {
+			return Permit{}, false
+		}
+		if t.word.CompareAndSwap(uint64(w), uint64(w+1)) {
+			return Permit{Target: t, Generation: w.generation()}, true
+		}
+	}
+}
+
+// Release gives a permit back. A permit of an earlier generation has no effect:
+// the server that it counted against is gone.
+func (p Permit) Release() {
+	t := p.Target
+	for {
+		w := word(t.word.Load())
+		if w.generation() != p.Generation || w.inFlight() == 0 {
+			return
+		}
+		if t.word.CompareAndSwap(uint64(w), uint64(w-1)) {
+			return
+		}
+	}
+}
+
+// Current tells whether the target is still the process that the permit was
+// given for.
+func (p Permit) Current() bool {
+	return word(p.Target.word.Load()).generation() == p.Generation
+}
+
+// Transition sets state and limit if the target is still in the given
+// generation, and tells whether it did.
+func (t *Target) Transition(generation uint32, state State, limit int) bool {
+	for {
+		w := word(t.word.Load())
+		if w.generation() != generation {
+			return false
+		}
+		next := pack(generation, state, limit, w.inFlight())
+		if t.word.CompareAndSwap(uint64(w), uint64(next)) {
+			return true
+		}
+	}
+}
+
+// Restarted records evidence that the process of the given generation is gone.
+// The target becomes cold in a new generation. Evidence about an earlier
+// generation has no effect, so many goroutines may report the same restart.
+func (t *Target) Restarted(generation uint32) bool {
+	for {
+		w := word(t.word.Load())
+		if w.generation() != generation {
+			return false
+		}
+		if t.word.CompareAndSwap(uint64(w), uint64(pack(generation+1, StateCold, 0, 0))) {
+			return true
+		}
+	}
+}
+
+const (
+	// smoothing is the weight of a new response time in the moving average.
+	smoothing = 0.2
+	// firstBackoff and maxBackoff bound the pause after consecutive failures.
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 5 * time.Second
+	// peerLoadHalfLife discounts the load that peers reported: reports are
+	// already stale when they arrive.
+	peerLoadHalfLife = 200 * time.Millisecond
+)
+
+// Answered records a whole answer and its response time.
+func (t *Target) Answered(took time.Duration) {
+	t.failures.Store(0)
+	for {
+		old := t.service.Load()
+		mean := math.Float64frombits(old)
+		next := mean + smoothing*(took.Seconds()-mean)
+		if t.service.CompareAndSwap(old, math.Float64bits(next)) {
+			return
+		}
+	}
+}
+
+// Failed records an attempt without an answer. Consecutive failures take the
+// target out of the choice for a time that doubles, so that a target that fails
+// fast does not look idle.
+func (t *Target) Failed(now time.Time) {
+	count := t.failures.Add(1)
+	backoff := firstBackoff << min(count-1, 10)
+	t.blockedTo.Store(now.Add(min(backoff, maxBackoff)).UnixNano())
+}
+
+// ReportPeers records the requests in flight from other instances.
+func (t *Target) ReportPeers(now time.Time, inFlight float64) {
+	t.peerLoad.Store(math.Float64bits(inFlight))
+	t.peerAt.Store(now.UnixNano())
+}
+
+// ExpectedDelay estimates the response time of one more request.
+func (t *Target) ExpectedDelay(now time.Time) time.Duration {
+	w := word(t.word.Load())
+	mean := math.Float64frombits(t.service.Load())
+	peers := math.Float64frombits(t.peerLoad.Load())
+	if peers > 0 {
+		age := time.Duration(now.UnixNano() - t.peerAt.Load())
+		peers *= math.Exp2(-age.Seconds() / peerLoadHalfLife.Seconds())
+	}
+	slots := float64(max(1, t.Spec.Slots))
+	queued := max(1, (float64(w.inFlight())+peers+1)/slots)
+	return time.Duration(queued * mean * float64(time.Second))
+}
+
+// Admits tells whether Admit would have given a permit. The answer may be stale
+// when it is used; only Admit decides.
+func (t *Target) Admits(now time.Time) bool {
+	w := word(t.word.Load())
+	return w.inFlight() < w.limit() && now.UnixNano() >= t.blockedTo.Load()
+}
