--- a/contract/contract.go
+++ b/contract/contract.go
@@ -143,3 +143,14 @@
 	}
 	return Refusal{Outcome: outcome, Reason: reason}
 }
+
+// Stop records the end of an attempt after which the request cannot be sent
+// again, because its body was not kept, and settles the contract.
+func (c *Contract) Stop(failure Failure) *Refusal {
+	c.mayHaveRun = c.mayHaveRun || failure.mayHaveRun()
+	reason := ReasonAnswerLost
+	if failure == FailureDeclined {
+		reason = ReasonDeclined
+	}
+	return c.Refuse(reason)
+}
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -52,6 +52,7 @@
 	ReasonIsolated       Reason = "instance-isolated"
 	ReasonNoConfig       Reason = "no-configuration"
 	ReasonCallerCanceled Reason = "canceled-by-caller"
+	ReasonBodyTooLarge   Reason = "body-too-large"
 )
 
 // Refusal is a settled request without an answer from a target.
--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,267 @@
+// Package exchange runs one contract from acceptance to its outcome: it chooses
+// a target, waits in the queue, takes a link, sends, reads, and tries again as
+// the contract allows. It runs on the goroutine of the request.
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"fulmarhoist.example/contract"
+	"fulmarhoist.example/service"
+	"fulmarhoist.example/target"
+)
+
+// Headers between entry instances and targets.
+const (
+	headerAttemptID = "Fulmarhoist-Attempt-Id"
+	headerDeadline  = "Fulmarhoist-Deadline"
+	headerDepth     = "Fulmarhoist-Depth"
+	headerRetries   = "Fulmarhoist-Retries-Left"
+	headerClass     = "Fulmarhoist-Class"
+	headerKey       = "Fulmarhoist-Request-Key"
+	headerInstance  = "Fulmarhoist-Instance"
+	headerBootID    = "Fulmarhoist-Boot-Id"
+	headerNotRun    = "Fulmarhoist-Not-Run"
+	headerDraining  = "Fulmarhoist-Draining"
+)
+
+// Request is what a caller wants sent, without hop-by-hop headers.
+type Request struct {
+	Method string
+	URL    *url.URL // path and query
+	Header http.Header
+	Body   io.Reader
+	Size   int64 // -1 if unknown
+}
+
+// Observer is told about attempts, for metrics.
+type Observer interface {
+	Attempt(service string, failure contract.Failure, took time.Duration) // failure is 0 for an answer
+	Discarded(service string)                                             // an answer that was late, crossed or cut
+}
+
+// Exchange serves one request. It is used by one goroutine.
+type Exchange struct {
+	Instance string
+	Contract *contract.Contract
+	Service  *service.Service
+	Rank     service.Rank
+	Links    *Links
+	Tracer   trace.Tracer
+	Observer Observer
+
+	tried service.Tried
+}
+
+// Run sends the request until it is answered or the contract refuses another
+// attempt. The context ends when the caller has gone; it cancels the attempt.
+func (x *Exchange) Run(ctx context.Context, request *Request) (*Response, *contract.Refusal) {
+	ctx, cancel := context.WithDeadline(ctx, x.Contract.Terms.Deadline)
+	content, err := readBody(request.Body, request.Size)
+	if err != nil {
+		cancel()
+		return nil, x.Contract.Refuse(bodyReason(err))
+	}
+	for {
+		permit, refusal := x.admit(ctx)
+		if refusal != nil {
+			cancel()
+			return nil, refusal
+		}
+		response, refusal, again := x.attempt(ctx, permit, request, content)
+		if again {
+			continue
+		}
+		if response == nil || response.Rest == nil {
+			cancel()
+		} else {
+			response.Rest = &canceling{response.Rest, cancel}
+		}
+		return response, refusal
+	}
+}
+
+func bodyReason(err error) contract.Reason {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return contract.ReasonBodyTooLarge
+	}
+	return contract.ReasonCallerCanceled
+}
+
+// canceling ends the context of the exchange with the body.
+type canceling struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (c *canceling) Close() error {
+	defer c.cancel()
+	return c.ReadCloser.Close()
+}
+
+// admit returns a permit, waiting in the queue if no target has room.
+func (x *Exchange) admit(ctx context.Context) (target.Permit, *contract.Refusal) {
+	if x.Service.Queue.Len() == 0 {
+		if permit, ok := x.choose(); ok {
+			return permit, nil
+		}
+	}
+	return x.wait(ctx)
+}
+
+// choose prefers targets that this request has not failed on.
+func (x *Exchange) choose() (target.Permit, bool) {
+	now := time.Now()
+	if permit, ok := x.Service.Choose(now, x.tried, rand.Uint64()); ok {
+		return permit, true
+	}
+	if len(x.tried) == 0 {
+		return target.Permit{}, false
+	}
+	return x.Service.Choose(now, nil, rand.Uint64())
+}
+
+func (x *Exchange) wait(ctx context.Context) (target.Permit, *contract.Refusal) {
+	_, span := x.Tracer.Start(ctx, "queue")
+	defer span.End()
+	waiter, err := x.Service.Queue.Join(x.Rank, x.Contract.Terms.Deadline)
+	if err != nil {
+		return target.Permit{}, x.Contract.Refuse(contract.ReasonQueueFull)
+	}
+	// A permit may have been released between the choice and Join.
+	if permit, ok := x.choose(); ok {
+		x.Service.Queue.Leave(waiter)
+		return permit, nil
+	}
+	for {
+		select {
+		case <-waiter.Ready():
+			if permit, ok := x.choose(); ok {
+				return permit, nil
+			}
+			x.Service.Queue.Rejoin(waiter)
+		case <-ctx.Done():
+			x.Service.Queue.Leave(waiter)
+			return target.Permit{}, x.Contract.Refuse(contextReason(ctx))
+		}
+	}
+}
+
+func contextReason(ctx context.Context) contract.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return contract.ReasonDeadline
+	}
+	return contract.ReasonCallerCanceled
+}
+
+// attempt sends the request once. The result again tells that another attempt
+// may follow.
+func (x *Exchange) attempt(ctx context.Context, permit target.Permit, request *Request, content *body) (response *Response, refusal *contract.Refusal, again bool) {
+	chosen := permit.Target
+	set := x.Links.Set(chosen)
+	if set == nil {
+		x.release(permit)
+		return nil, nil, x.retryWithoutLink(ctx)
+	}
+	taken := set.Take()
+	if taken == nil {
+		x.release(permit)
+		x.tried = append(x.tried, chosen)
+		return nil, nil, x.retryWithoutLink(ctx)
+	}
+	s := &sending{x: x, permit: permit, set: set, link: taken, began: time.Now()}
+	if err := x.Contract.BeginAttempt(s.began); err != nil {
+		s.finish(true, s.began)
+		return nil, refusalOf(err), false
+	}
+	ctx, span := x.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
+		trace.WithAttributes(attribute.String("target", chosen.Spec.Name), attribute.Int("attempt", x.Contract.Attempts())))
+	defer span.End()
+	response, failure, err := s.send(ctx, request, content)
+	if err == nil {
+		x.Contract.Answer()
+		return response, nil, false
+	}
+	span.RecordError(err)
+	x.Observer.Attempt(x.Service.Name, failure, time.Since(s.began))
+	x.tried = append(x.tried, chosen)
+	if !content.replayable() {
+		return nil, x.Contract.Stop(failure), false
+	}
+	refusal = x.Contract.FailAttempt(time.Now(), failure)
+	return nil, refusal, refusal == nil
+}
+
+// retryWithoutLink waits for a moment in which a link may come free: a permit
+// without a link means that a link is being replaced.
+func (x *Exchange) retryWithoutLink(ctx context.Context) bool {
+	timer := time.NewTimer(linkPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+// linkPause is the time that opening a connection takes.
+const linkPause = time.Millisecond
+
+func refusalOf(err error) *contract.Refusal {
+	var notAllowed *contract.AttemptError
+	if errors.As(err, &notAllowed) {
+		return &notAllowed.Refusal
+	}
+	return &contract.Refusal{Outcome: contract.OutcomeUnknown, Reason: contract.ReasonAnswerLost}
+}
+
+func (x *Exchange) release(permit target.Permit) {
+	permit.Release()
+	x.Service.Queue.Wake()
+}
+
+// outgoing makes the request of one attempt.
+func (x *Exchange) outgoing(ctx context.Context, request *Request, content *body, attemptID string) *http.Request {
+	header := request.Header.Clone()
+	terms := &x.Contract.Terms
+	header.Set(headerAttemptID, attemptID)
+	header.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(terms.Deadline).Milliseconds()), 10))
+	header.Set(headerDepth, strconv.Itoa(terms.Depth+1))
+	header.Set(headerRetries, strconv.Itoa(x.Contract.RetriesLeft()))
+	header.Set(headerClass, terms.Class)
+	header.Set(headerInstance, x.Instance)
+	if !terms.Key.IsZero() {
+		header.Set(headerKey, terms.Key.String())
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(header))
+	address := *request.URL
+	out := &http.Request{
+		Method:        request.Method,
+		URL:           &address,
+		Host:          request.Header.Get("Host"),
+		Header:        header,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		ContentLength: content.size,
+	}
+	if content.size != 0 {
+		out.Body = io.NopCloser(content.reader())
+	}
+	return out.WithContext(ctx)
+}
+
+func newAttemptID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
--- /dev/null
+++ b/exchange/links.go
@@ -0,0 +1,95 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"fulmarhoist.example/link"
+	"fulmarhoist.example/service"
+	"fulmarhoist.example/target"
+)
+
+// Links holds the sets of links of all targets. Request goroutines read an
+// immutable map; Follow, called by one goroutine, replaces it.
+type Links struct {
+	lessor   link.Lessor
+	draining func(*target.Target)
+
+	sets   atomic.Pointer[map[*target.Target]*runningSet]
+	group  sync.WaitGroup
+	cancel context.CancelFunc
+	ctx    context.Context
+}
+
+type runningSet struct {
+	*link.Set
+	stop context.CancelFunc
+}
+
+// NewLinks returns a holder without links. The function draining is told about
+// targets that said they are leaving.
+func NewLinks(lessor link.Lessor, draining func(*target.Target)) *Links {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Links{lessor: lessor, draining: draining, ctx: ctx, cancel: cancel}
+	l.sets.Store(&map[*target.Target]*runningSet{})
+	return l
+}
+
+// Set returns the links of a target, or nil if it gets no new work.
+func (l *Links) Set(t *target.Target) *link.Set {
+	if found := (*l.sets.Load())[t]; found != nil {
+		return found.Set
+	}
+	return nil
+}
+
+// Draining reports that a target said it is leaving.
+func (l *Links) Draining(t *target.Target) {
+	_, generation := t.State()
+	if t.Transition(generation, target.StateLeaving, 0) {
+		l.draining(t)
+	}
+}
+
+// Follow opens links to the targets of a snapshot and closes those of targets
+// that are not in it. Links in use are closed when their request has ended.
+func (l *Links) Follow(snapshot *service.Snapshot) {
+	old := *l.sets.Load()
+	wanted := snapshot.Targets()
+	next := make(map[*target.Target]*runningSet, len(wanted))
+	for t, name := range wanted {
+		if kept := old[t]; kept != nil {
+			next[t] = kept
+			continue
+		}
+		next[t] = l.start(t, name, snapshot)
+	}
+	l.sets.Store(&next)
+	for t, running := range old {
+		if next[t] == nil {
+			running.stop()
+		}
+	}
+}
+
+func (l *Links) start(t *target.Target, name string, snapshot *service.Snapshot) *runningSet {
+	owner, _ := snapshot.Service(name)
+	spec, _ := snapshot.State.Config.Service(name)
+	terms := target.ColdTerms{
+		Bears:        spec.ColdStart.Bears,
+		Duration:     spec.ColdStart.Duration(),
+		Answers:      spec.ColdStart.Answers,
+		MaxInstances: snapshot.State.Config.MaxInstances,
+	}
+	ctx, stop := context.WithCancel(l.ctx)
+	running := &runningSet{Set: link.NewSet(t, terms, l.lessor, owner.Queue.WakeAll), stop: stop}
+	l.group.Go(func() { running.Run(ctx) })
+	return running
+}
+
+// Close closes all links and waits until their goroutines have ended.
+func (l *Links) Close() {
+	l.cancel()
+	l.group.Wait()
+}
--- a/target/target.go
+++ b/target/target.go
@@ -87,6 +87,9 @@
 	peerAt    atomic.Int64  // time of peerLoad, Unix nanoseconds
 	failures  atomic.Uint32 // consecutive failures
 	blockedTo atomic.Int64  // no new work before this time, Unix nanoseconds
+	answers   atomic.Uint64 // whole answers since this instance knows the target
+	bootID    atomic.Pointer[string]
+	coldUntil atomic.Int64 // work for a cold target may start before this time, Unix nanoseconds
 }
 
 // defaultServiceTime is the estimate before the first answer.
@@ -119,7 +122,7 @@
 	}
 	for {
 		w := word(t.word.Load())
-		if w.inFlight() >= w.limit() {
+		if w.inFlight() >= w.limit() || !t.allows(w, now) {
 			return Permit{}, false
 		}
 		if t.word.CompareAndSwap(uint64(w), uint64(w+1)) {
@@ -143,10 +146,27 @@
 	}
 }
 
-// Current tells whether the target is still the process that the permit was
-// given for.
-func (p Permit) Current() bool {
-	return word(p.Target.word.Load()).generation() == p.Generation
+// MaySend is called directly before the first write. It tells whether the
+// target is still the process that the permit was given for and, if it is cold,
+// whether the lease still holds: this process may have been paused since Admit.
+func (p Permit) MaySend(now time.Time) bool {
+	w := word(p.Target.word.Load())
+	return w.generation() == p.Generation && p.Target.allows(w, now)
+}
+
+// allows tells whether work may start now. A cold target needs a lease.
+func (t *Target) allows(w word, now time.Time) bool {
+	return w.state() != StateCold || now.UnixNano() < t.coldUntil.Load()
+}
+
+// Lease allows work for the cold target until the given time. The zero time
+// ends the lease.
+func (t *Target) Lease(until time.Time) {
+	if until.IsZero() {
+		t.coldUntil.Store(0)
+		return
+	}
+	t.coldUntil.Store(until.UnixNano())
 }
 
 // Transition sets state and limit if the target is still in the given
@@ -192,6 +212,7 @@
 
 // Answered records a whole answer and its response time.
 func (t *Target) Answered(took time.Duration) {
+	t.answers.Add(1)
 	t.failures.Store(0)
 	for {
 		old := t.service.Load()
@@ -203,6 +224,29 @@
 	}
 }
 
+// Answers returns the number of whole answers so far.
+func (t *Target) Answers() uint64 { return t.answers.Load() }
+
+// SawBootID records the boot id that came with an answer of the given
+// generation. Another id than the one known for the generation is evidence of a
+// restart; the result is false then.
+func (t *Target) SawBootID(generation uint32, id string) bool {
+	if id == "" {
+		return true
+	}
+	known := t.bootID.Load()
+	if known != nil && *known == id {
+		return true
+	}
+	if known == nil {
+		t.bootID.CompareAndSwap(nil, &id)
+		return true
+	}
+	t.bootID.Store(&id)
+	t.Restarted(generation)
+	return false
+}
+
 // Failed records an attempt without an answer. Consecutive failures take the
 // target out of the choice for a time that doubles, so that a target that fails
 // fast does not look idle.
@@ -236,5 +280,5 @@
 // when it is used; only Admit decides.
 func (t *Target) Admits(now time.Time) bool {
 	w := word(t.word.Load())
-	return w.inFlight() < w.limit() && now.UnixNano() >= t.blockedTo.Load()
+	return w.inFlight() < w.limit() && t.allows(w, now) && now.UnixNano() >= t.blockedTo.Load()
 }
