Trust links by evidence and drive cold starts through leases

Cause: a target may restart unnoticed; a new connection would then carry warm traffic to a cold process, and a connection that never sent anything did not notice its own end (spec 'makes the target cold when its last trusted connection broke' timed out at 1 s). Change: link sets with an owner goroutine, a first read on each connection, cold-start broker between links, leases and peers, probe budget.

--- /dev/null
+++ b/coldstart/broker.go
@@ -0,0 +1,307 @@
+// Package coldstart connects the lease on cold targets with the links to them
+// and with the other entry instances. It implements link.Lessor.
+package coldstart
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"fulmarhoist.example/lease"
+	"fulmarhoist.example/link"
+	"fulmarhoist.example/target"
+)
+
+// homeAdvantage is how long an instance that is not the home of a target waits
+// before it asks for the lease. It keeps instances that all want the same target
+// from refusing each other, and lets one without a working home have it.
+const homeAdvantage = 300 * time.Millisecond
+
+// queryInterval is the time between questions to peers whether a target is
+// warm. A target is cold for seconds, so the answer comes early enough.
+const queryInterval = 250 * time.Millisecond
+
+// Ask is the message that asks a peer for the lease, or only whether the target
+// is warm.
+type Ask struct {
+	Target     string
+	Round      uint64 // 0 asks only whether the target is warm
+	Generation uint32 // the asking instance's number of the target's process
+}
+
+// Answer is the reply to an Ask.
+type Answer struct {
+	Target     string
+	Round      uint64
+	Generation uint32
+	Reply      lease.Reply
+}
+
+// Release is the message that ends a lease.
+type Release struct {
+	Target string
+	Round  uint64
+}
+
+// Sender sends messages to peers without waiting. A message may be lost.
+type Sender interface {
+	SendColdAsk(to lease.Holder, ask Ask)
+	SendColdAnswer(to lease.Holder, answer Answer)
+	SendColdRelease(to lease.Holder, release Release)
+}
+
+// Members is what is known about the other instances. It is immutable.
+type Members struct {
+	// Ready is true once this instance has seen itself on the instance list and
+	// has heard from every other listed instance. Before that another instance
+	// could hold a lease without this one knowing.
+	Ready bool
+	// Peers are all other instances that may send to targets.
+	Peers []lease.Holder
+	// Live are the peers that are not suspected; a home is one of them.
+	Live []lease.Holder
+}
+
+// Known finds what this instance has for a target.
+type Known interface {
+	// ByName returns the target and its links, or nil for a target that gets no
+	// work from this instance.
+	ByName(name string) (*target.Target, *link.Set)
+	// MaxRun returns the longest time that a request may run on the target.
+	MaxRun(name string) time.Duration
+}
+
+// Broker asks for leases and gives consent. Its mutex is held for short
+// decisions only, never over I/O. It is not on the path of a request: the time
+// until which a lease lasts is an atomic of the target.
+type Broker struct {
+	self    lease.Holder
+	sender  Sender
+	known   Known
+	members func() *Members
+
+	mu      sync.Mutex
+	granter *lease.Granter
+	prover  *lease.Prover
+	wanted  map[string]*want // by target name
+}
+
+// want is what this instance tries to get for one cold target.
+type want struct {
+	asker     *lease.Asker
+	release   *lease.Request // not sent yet, because work still runs
+	since     time.Time      // when this instance began to want the target
+	queriedAt time.Time
+	warm      uint32 // generation that a peer has proved to be warm
+}
+
+// NewBroker returns a broker of the given incarnation.
+func NewBroker(self lease.Holder, sender Sender, known Known, members func() *Members) *Broker {
+	return &Broker{
+		self:    self,
+		sender:  sender,
+		known:   known,
+		members: members,
+		granter: lease.NewGranter(),
+		prover:  lease.NewProver(),
+		wanted:  make(map[string]*want),
+	}
+}
+
+func (b *Broker) want(name string) *want {
+	w := b.wanted[name]
+	if w == nil {
+		w = &want{asker: lease.NewAsker(b.self, name)}
+		b.wanted[name] = w
+	}
+	return w
+}
+
+// ColdLease implements link.Lessor. The owner of the target's links calls it
+// every few milliseconds while the target is cold.
+func (b *Broker) ColdLease(now time.Time, t *target.Target) time.Time {
+	members := b.members()
+	b.mu.Lock()
+	w := b.want(t.Spec.Name)
+	released := b.settleRelease(t, w)
+	if w.since.IsZero() {
+		w.since = now
+	}
+	var asks []lease.Request
+	if members.Ready && w.release == nil && b.mayAsk(now, t, w, members) {
+		asks = b.renew(now, t, w, members)
+	}
+	query, ask := b.query(now, w, members)
+	until := w.asker.Until()
+	b.mu.Unlock()
+
+	_, generation := t.State()
+	for _, request := range asks {
+		b.sender.SendColdAsk(request.To, Ask{Target: request.Target, Round: request.Round, Generation: generation})
+	}
+	if ask {
+		b.sender.SendColdAsk(query, Ask{Target: t.Spec.Name, Generation: generation})
+	}
+	b.sendRelease(released, members)
+	return until
+}
+
+// Relinquish implements link.Lessor.
+func (b *Broker) Relinquish(now time.Time, t *target.Target) {
+	members := b.members()
+	b.mu.Lock()
+	w := b.want(t.Spec.Name)
+	w.since = time.Time{}
+	if w.release == nil && now.Before(w.asker.Until()) {
+		b.drop(w)
+	}
+	released := b.settleRelease(t, w)
+	b.mu.Unlock()
+	b.sendRelease(released, members)
+}
+
+func (b *Broker) mayAsk(now time.Time, t *target.Target, w *want, members *Members) bool {
+	if now.Before(w.asker.Until()) || now.Sub(w.since) >= homeAdvantage {
+		return true
+	}
+	return lease.Home(t.Spec.Name, append([]lease.Holder{b.self}, members.Live...)) == b.self
+}
+
+func (b *Broker) renew(now time.Time, t *target.Target, w *want, members *Members) []lease.Request {
+	if !w.asker.Due(now) {
+		return nil
+	}
+	maxRun := b.known.MaxRun(t.Spec.Name)
+	if b.granter.Ask(now, w.asker.Next(), b.self, maxRun) != lease.ReplyGranted {
+		return nil
+	}
+	return w.asker.Begin(now, members.Peers)
+}
+
+// query chooses a peer to ask whether the target is warm.
+func (b *Broker) query(now time.Time, w *want, members *Members) (lease.Holder, bool) {
+	if len(members.Live) == 0 || now.Sub(w.queriedAt) < queryInterval {
+		return lease.Holder{}, false
+	}
+	w.queriedAt = now
+	return members.Live[rand.N(len(members.Live))], true
+}
+
+func (b *Broker) drop(w *want) {
+	request := w.asker.Drop()
+	w.release = &request
+}
+
+// settleRelease returns a release that may be sent now, because no work of this
+// instance runs on the target any more.
+func (b *Broker) settleRelease(t *target.Target, w *want) *lease.Request {
+	if w.release == nil || t.InFlight() > 0 {
+		return nil
+	}
+	request := *w.release
+	w.release = nil
+	b.granter.Release(request, b.self)
+	return &request
+}
+
+func (b *Broker) sendRelease(request *lease.Request, members *Members) {
+	if request == nil {
+		return
+	}
+	for _, peer := range members.Peers {
+		b.sender.SendColdRelease(peer, Release{Target: request.Target, Round: request.Round})
+	}
+}
+
+// ProvedWarm implements link.Lessor.
+func (b *Broker) ProvedWarm(t *target.Target) bool {
+	_, generation := t.State()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.wanted[t.Spec.Name]
+	return w != nil && w.warm == generation
+}
+
+// Warm implements link.Lessor: it ends the lease on a target that is no longer
+// cold.
+func (b *Broker) Warm(t *target.Target) {
+	members := b.members()
+	b.mu.Lock()
+	w := b.want(t.Spec.Name)
+	request := w.asker.Drop()
+	w.release = nil
+	w.since = time.Time{}
+	b.granter.Release(request, b.self)
+	b.mu.Unlock()
+	b.sendRelease(&request, members)
+}
+
+// OnAsk handles a message of a peer.
+func (b *Broker) OnAsk(now time.Time, from lease.Holder, ask Ask) {
+	answer := Answer{Target: ask.Target, Round: ask.Round, Generation: ask.Generation, Reply: b.reply(now, from, ask)}
+	if ask.Round == 0 && answer.Reply != lease.ReplyWarm {
+		return
+	}
+	b.sender.SendColdAnswer(from, answer)
+}
+
+// reply decides on an Ask. An instance that believes the target warm does not
+// consent: it goes on sending, and proves to the asking instance that the target
+// is warm. If its belief is wrong, its links break and the next round finds the
+// target cold here too.
+func (b *Broker) reply(now time.Time, from lease.Holder, ask Ask) lease.Reply {
+	t, set := b.known.ByName(ask.Target)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t != nil && set != nil {
+		if state, _ := t.State(); state == target.StateWarming || state == target.StateWarm {
+			if b.prover.Ask(now, ask.Target, from, ask.Generation, set.Proved()) {
+				return lease.ReplyWarm
+			}
+			set.WantProof()
+			return lease.ReplyRefused
+		}
+	}
+	if ask.Round == 0 {
+		return lease.ReplyRefused
+	}
+	request := lease.Request{Target: ask.Target, Round: ask.Round}
+	return b.granter.Ask(now, request, from, b.known.MaxRun(ask.Target))
+}
+
+// OnAnswer handles a peer's reply.
+func (b *Broker) OnAnswer(now time.Time, from lease.Holder, answer Answer) {
+	t, _ := b.known.ByName(answer.Target)
+	if t == nil {
+		return
+	}
+	_, generation := t.State()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.wanted[answer.Target]
+	if w == nil {
+		return
+	}
+	if answer.Reply == lease.ReplyWarm && answer.Generation == generation {
+		w.warm = generation
+	}
+	if answer.Round != 0 && w.asker.Answered(now, from, answer.Round, answer.Reply, rand.Uint64()) && w.release == nil {
+		b.drop(w)
+	}
+}
+
+// OnRelease handles the end of a peer's lease.
+func (b *Broker) OnRelease(from lease.Holder, release Release) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.granter.Release(lease.Request{Target: release.Target, Round: release.Round}, from)
+}
+
+// Gone records that the process of an incarnation has certainly ended. A broken
+// connection alone does not show that: something between the two may have cut it.
+func (b *Broker) Gone(holder lease.Holder) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.granter.Gone(holder)
+	b.prover.Gone(holder.Instance)
+}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -137,6 +137,7 @@
 func (x *Exchange) wait(ctx context.Context) (target.Permit, *contract.Refusal) {
 	_, span := x.Tracer.Start(ctx, "queue")
 	defer span.End()
+	x.Service.Waited(time.Now())
 	waiter, err := x.Service.Queue.Join(x.Rank, x.Contract.Terms.Deadline)
 	if err != nil {
 		return target.Permit{}, x.Contract.Refuse(contract.ReasonQueueFull)
--- a/exchange/links.go
+++ b/exchange/links.go
@@ -76,14 +76,18 @@
 func (l *Links) start(t *target.Target, name string, snapshot *service.Snapshot) *runningSet {
 	owner, _ := snapshot.Service(name)
 	spec, _ := snapshot.State.Config.Service(name)
-	terms := target.ColdTerms{
-		Bears:        spec.ColdStart.Bears,
-		Duration:     spec.ColdStart.Duration(),
-		Answers:      spec.ColdStart.Answers,
-		MaxInstances: snapshot.State.Config.MaxInstances,
+	configuration := snapshot.State.Config
+	terms := link.Terms{
+		Cold: target.ColdTerms{
+			Bears:        spec.ColdStart.Bears,
+			Duration:     spec.ColdStart.Duration(),
+			Answers:      spec.ColdStart.Answers,
+			MaxInstances: configuration.MaxInstances,
+		},
+		Probes: target.NewProbeBudget(configuration.Measuring.ProbesPerSecond, configuration.MaxInstances),
 	}
 	ctx, stop := context.WithCancel(l.ctx)
-	running := &runningSet{Set: link.NewSet(t, terms, l.lessor, owner.Queue.WakeAll), stop: stop}
+	running := &runningSet{Set: link.NewSet(t, terms, l.lessor, owner), stop: stop}
 	l.group.Go(func() { running.Run(ctx) })
 	return running
 }
--- a/lease/asker.go
+++ b/lease/asker.go
@@ -35,7 +35,6 @@
 	current   round
 	until     time.Time
 	notBefore time.Time
-	warmSince time.Time // beginning of the round that a peer answered with "warm"
 }
 
 // NewAsker returns an asker that holds no lease.
@@ -92,14 +91,10 @@
 	if number != a.current.number || !a.current.missing[from] || a.current.refused {
 		return false
 	}
-	switch reply {
-	case ReplyGranted:
+	if reply == ReplyGranted {
 		delete(a.current.missing, from)
 		a.conclude()
 		return false
-	case ReplyWarm:
-		a.warmSince = a.current.began
-	case ReplyRefused:
 	}
 	a.current.refused = true
 	a.notBefore = now.Add(minBackoff + time.Duration(random%uint64(maxBackoff-minBackoff)))
@@ -115,9 +110,6 @@
 // Until returns the end of the lease; a past or zero time means none.
 func (a *Asker) Until() time.Time { return a.until }
 
-// WarmSince returns the latest time that a peer's proof of warmth refers to.
-func (a *Asker) WarmSince() time.Time { return a.warmSince }
-
 // Drop ends the lease on this side and returns the release for the granters. It
 // is sent when no work of this instance runs on the target any more.
 func (a *Asker) Drop() Request {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -230,4 +230,17 @@
 		Expect(granter.Ask(lastEnd.Add(-time.Nanosecond), request, b, maxRun)).To(Equal(lease.ReplyRefused))
 		Expect(granter.Ask(lastEnd, request, b, maxRun)).To(Equal(lease.ReplyGranted))
 	})
+
+	// Guards against a proof from before the question, which could refer to a
+	// process that has ended since.
+	It("proves warmth only by a request sent after the question", func() {
+		prover := lease.NewProver()
+		b := lease.Holder{Instance: "b", Incarnation: 2}
+		asked := time.Unix(100, 0)
+		earlier, later := asked.Add(-time.Millisecond), asked.Add(time.Millisecond)
+		Expect(prover.Ask(asked, targetName, b, 1, earlier)).To(BeFalse())
+		Expect(prover.Ask(later, targetName, b, 1, asked)).To(BeFalse())
+		Expect(prover.Ask(later, targetName, b, 2, later)).To(BeFalse(), "another generation is another question")
+		Expect(prover.Ask(later, targetName, b, 2, later.Add(1))).To(BeTrue())
+	})
 })
--- a/link/link.go
+++ b/link/link.go
@@ -63,7 +63,8 @@
 		return nil, &DialError{Address: address, Err: err}
 	}
 	l := &Link{Opened: time.Now(), Generation: generation, address: address}
-	l.conn = &observedConn{Conn: raw, ended: func() { broken(l) }}
+	l.conn = &observedConn{Conn: raw, ended: func() { broken(l) }, first: make(chan firstRead, 1)}
+	go l.conn.watch()
 	var taken atomic.Bool
 	l.transport = &http.Transport{
 		DialContext: func(context.Context, string, string) (net.Conn, error) {
@@ -113,6 +114,26 @@
 	closed atomic.Bool
 	once   sync.Once
 	ended  func()
+	first  chan firstRead // capacity 1
+	passed bool           // the first read was handed to the reader
+}
+
+type firstRead struct {
+	data byte
+	n    int
+	err  error
+}
+
+// watch reads the first byte. The transport reads only after the first request
+// was sent, so without it the end of an unused connection would go unnoticed.
+// It ends with the first byte or with the connection.
+func (c *observedConn) watch() {
+	var data [1]byte
+	n, err := c.Conn.Read(data[:])
+	if err != nil {
+		c.end()
+	}
+	c.first <- firstRead{data[0], n, err}
 }
 
 func (c *observedConn) isClosed() bool { return c.closed.Load() }
@@ -123,6 +144,14 @@
 }
 
 func (c *observedConn) Read(data []byte) (int, error) {
+	if !c.passed {
+		c.passed = true
+		first := <-c.first
+		if first.n == 1 && len(data) > 0 {
+			data[0] = first.data
+		}
+		return first.n, first.err
+	}
 	n, err := c.Conn.Read(data)
 	if err != nil {
 		c.end()
--- /dev/null
+++ b/link/owner.go
@@ -0,0 +1,177 @@
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"time"
+
+	"fulmarhoist.example/target"
+)
+
+const (
+	// stepInterval is how often the warm-up of a target that is not warm is
+	// looked at.
+	stepInterval = 20 * time.Millisecond
+	// firstRedial and maxRedial bound the pause between attempts to connect.
+	firstRedial = 20 * time.Millisecond
+	maxRedial   = time.Second
+	// useWindow is how long a cold target counts as needed after its last use.
+	useWindow = time.Second
+	// probeTimeout bounds one probe of the load endpoint.
+	probeTimeout = time.Second
+	// loadPath is the load endpoint of a target.
+	loadPath = "/fulmarhoist-load"
+)
+
+// owner is the goroutine of a Set: it opens links, steps the warm-up and sends
+// probes.
+type owner struct {
+	*Set
+	warmup  *target.Warmup
+	answers uint64
+	usedAt  time.Time
+}
+
+// Run opens links and steps the warm-up until the context ends. It returns
+// after all idle links are closed; links in use are closed when they are put
+// back, so that no request in flight is cut.
+func (s *Set) Run(ctx context.Context) {
+	defer s.close()
+	o := &owner{Set: s, warmup: target.NewWarmup(s.target, s.terms.Cold)}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	redial := firstRedial
+	for {
+		pause := o.step(time.Now())
+		if s.missing() {
+			if err := o.dial(ctx); err != nil {
+				pause = jitter(redial)
+				redial = min(2*redial, maxRedial)
+			} else {
+				redial = firstRedial
+				continue
+			}
+		}
+		if s.wantProof.Load() && s.terms.Probes.Take(time.Now()) {
+			o.probe(ctx)
+		}
+		timer.Reset(pause)
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// jitter spreads the redials of many instances to a target that comes back.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
+
+// step applies the warm-up and returns how long to wait for the next one.
+func (o *owner) step(now time.Time) time.Duration {
+	before, _ := o.target.State()
+	if before == target.StateWarm || before == target.StateLeaving {
+		return maxRedial
+	}
+	if !o.warmup.Started() {
+		return stepInterval
+	}
+	limit := o.target.Limit()
+	leased := false
+	if before == target.StateCold {
+		until := o.coldUntil(now)
+		o.target.Lease(until)
+		leased = o.terms.Cold.Share() == 0 && now.Before(until)
+		if o.lessor.ProvedWarm(o.target) {
+			o.warmup.ProvedWarm()
+		}
+	}
+	o.warmup.Step(now, leased)
+	after, _ := o.target.State()
+	if before == target.StateCold && after == target.StateWarming {
+		o.lessor.Warm(o.target)
+	}
+	if o.target.Limit() > limit {
+		o.demand.Ready()
+	}
+	return stepInterval
+}
+
+// coldUntil returns the time until which this instance may send to the cold
+// target. Its fixed share needs no lease.
+func (o *owner) coldUntil(now time.Time) time.Time {
+	if o.terms.Cold.Share() > 0 {
+		return now.Add(time.Hour)
+	}
+	if answers := o.target.Answers(); answers != o.answers || o.target.InFlight() > 0 {
+		o.answers, o.usedAt = answers, now
+	}
+	if !o.demand.Wanted(now) && now.Sub(o.usedAt) > useWindow {
+		o.lessor.Relinquish(now, o.target)
+		return time.Time{}
+	}
+	return o.lessor.ColdLease(now, o.target)
+}
+
+// probe asks the load endpoint over an idle trusted link. Its answer proves
+// that the process is alive, as any other answer does.
+func (o *owner) probe(ctx context.Context) {
+	l := o.Take()
+	if l == nil {
+		return
+	}
+	o.wantProof.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	sent := time.Now()
+	request := (&http.Request{Method: http.MethodGet, URL: &url.URL{Path: loadPath}, Header: http.Header{}}).WithContext(ctx)
+	response, _, err := l.Send(request)
+	if err != nil {
+		return
+	}
+	_ = response.Body.Close()
+	o.Answered(l, sent)
+	o.Put(l)
+}
+
+func (s *Set) missing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open) < s.target.Spec.Links
+}
+
+// dial opens one link. A connection that was refused while no link is open is
+// evidence that the process is gone.
+func (o *owner) dial(ctx context.Context) error {
+	s := o.Set
+	_, generation := s.target.State()
+	l, err := Open(ctx, s.target.Spec.Address, generation, s.broken)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	if _, current := s.target.State(); current != generation || s.closed || !l.Alive() {
+		s.mu.Unlock()
+		l.Close()
+		return &DialError{Address: s.target.Spec.Address, Err: &SpentError{Address: s.target.Spec.Address}}
+	}
+	s.open[l] = struct{}{}
+	first := !s.hasTrusted(generation)
+	if first {
+		l.trusted.Store(true)
+	} else {
+		s.waiting = append(s.waiting, l)
+	}
+	s.mu.Unlock()
+	if first {
+		o.warmup.Connected(time.Now(), generation)
+		s.Put(l)
+		s.demand.Ready()
+	}
+	return nil
+}
--- a/link/set.go
+++ b/link/set.go
@@ -1,35 +1,44 @@
 package link
 
 import (
-	"context"
-	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"fulmarhoist.example/target"
 )
 
-const (
-	// stepInterval is how often the warm-up of a target that is not warm is
-	// looked at.
-	stepInterval = 20 * time.Millisecond
-	// firstRedial and maxRedial bound the pause between attempts to connect.
-	firstRedial = 20 * time.Millisecond
-	maxRedial   = time.Second
-)
-
 // Lessor grants this instance the right to send to cold targets.
 type Lessor interface {
 	// ColdLease returns the time until which this instance may send up to what
 	// the cold target bears, and the zero time if it may not.
 	ColdLease(now time.Time, t *target.Target) time.Time
-	// ProvedWarm tells whether a peer has shown, since the given time, that the
-	// running process of the target is warm.
-	ProvedWarm(t *target.Target, since time.Time) bool
+	// Relinquish ends the lease on a cold target that this instance does not
+	// need, so that one that has requests for it can have the lease.
+	Relinquish(now time.Time, t *target.Target)
+	// ProvedWarm tells whether a peer has shown that the process of the
+	// target's current generation is warm.
+	ProvedWarm(t *target.Target) bool
 	// Warm tells the peers that the target is no longer cold.
 	Warm(t *target.Target)
 }
 
+// Demand tells a Set whether requests wait for its target, and is told about
+// new capacity.
+type Demand interface {
+	// Wanted tells whether a request had to wait a short time ago.
+	Wanted(now time.Time) bool
+	// Ready is called, from any goroutine, when waiting requests should choose
+	// again.
+	Ready()
+}
+
+// Terms is what is agreed about a target's links.
+type Terms struct {
+	Cold   target.ColdTerms
+	Probes *target.ProbeBudget
+}
+
 // Set holds the links of one target. Request goroutines take and return links
 // over a channel; the goroutine that runs Run opens them.
 //
@@ -40,11 +49,14 @@
 // was alive then, so both links reach the same one.
 type Set struct {
 	target *target.Target
-	terms  target.ColdTerms
+	terms  Terms
 	lessor Lessor
+	demand Demand
 	idle   chan *Link
 	wake   chan struct{} // capacity 1
-	ready  func()        // called when a link or capacity became available
+
+	wantProof atomic.Bool
+	proved    atomic.Int64 // when the newest answered request was sent, Unix nanoseconds
 
 	mu      sync.Mutex
 	open    map[*Link]struct{}
@@ -52,16 +64,15 @@
 	closed  bool
 }
 
-// NewSet returns the set of links of a target. The function ready is called,
-// from any goroutine, when waiting requests should choose again.
-func NewSet(t *target.Target, terms target.ColdTerms, lessor Lessor, ready func()) *Set {
+// NewSet returns the set of links of a target.
+func NewSet(t *target.Target, terms Terms, lessor Lessor, demand Demand) *Set {
 	return &Set{
 		target: t,
 		terms:  terms,
 		lessor: lessor,
 		idle:   make(chan *Link, t.Spec.Links),
 		wake:   make(chan struct{}, 1),
-		ready:  ready,
+		demand: demand,
 		open:   make(map[*Link]struct{}, t.Spec.Links),
 	}
 }
@@ -105,6 +116,7 @@
 // Answered records an answer on a trusted link to a request sent at the given
 // time, and trusts the links that were established before that.
 func (s *Set) Answered(l *Link, sent time.Time) {
+	s.prove(sent)
 	s.mu.Lock()
 	if len(s.waiting) == 0 || !l.trusted.Load() {
 		s.mu.Unlock()
@@ -129,112 +141,38 @@
 	}
 }
 
-// Run opens links and steps the warm-up until the context ends. It returns
-// after all idle links are closed; links in use are closed when they are put
-// back, so that no request in flight is cut.
-func (s *Set) Run(ctx context.Context) {
-	defer s.close()
-	warmup := target.NewWarmup(s.target, s.terms)
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	redial := firstRedial
+// prove keeps the newest time.
+func (s *Set) prove(sent time.Time) {
 	for {
-		pause := s.step(warmup)
-		if s.missing() {
-			if err := s.dial(ctx, warmup); err != nil {
-				pause = jitter(redial)
-				redial = min(2*redial, maxRedial)
-			} else {
-				redial = firstRedial
-				continue
-			}
-		}
-		timer.Reset(pause)
-		select {
-		case <-ctx.Done():
+		old := s.proved.Load()
+		if sent.UnixNano() <= old || s.proved.CompareAndSwap(old, sent.UnixNano()) {
 			return
-		case <-s.wake:
-		case <-timer.C:
 		}
 	}
 }
 
-// jitter spreads the redials of many instances to a target that comes back.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
-}
-
-// step applies the warm-up and returns how long to wait for the next one.
-func (s *Set) step(warmup *target.Warmup) time.Duration {
-	before, _ := s.target.State()
-	limit := s.target.Limit()
-	if before == target.StateWarm || before == target.StateLeaving {
-		return maxRedial
-	}
-	now := time.Now()
-	leased := false
-	if before == target.StateCold {
-		until := s.coldUntil(now)
-		s.target.Lease(until)
-		leased = s.terms.Share() == 0 && now.Before(until)
-		if !warmup.ConnectedAt().IsZero() && s.lessor.ProvedWarm(s.target, warmup.ConnectedAt()) {
-			warmup.ProvedWarm()
-		}
-	}
-	warmup.Step(now, leased)
-	after, _ := s.target.State()
-	if before == target.StateCold && after == target.StateWarming {
-		s.lessor.Warm(s.target)
-	}
-	if s.target.Limit() > limit {
-		s.ready()
+// Proved returns the time at which the newest request was sent that the warm
+// target has answered, and the zero time while the target is cold.
+func (s *Set) Proved() time.Time {
+	state, _ := s.target.State()
+	proved := s.proved.Load()
+	if proved == 0 || (state != target.StateWarming && state != target.StateWarm) {
+		return time.Time{}
 	}
-	return stepInterval
+	return time.Unix(0, proved)
 }
 
-// coldUntil returns the time until which this instance may send to the cold
-// target. Its fixed share needs no lease.
-func (s *Set) coldUntil(now time.Time) time.Time {
-	if s.terms.Share() > 0 {
-		return now.Add(time.Hour)
-	}
-	return s.lessor.ColdLease(now, s.target)
-}
-
-func (s *Set) missing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.open) < s.target.Spec.Links
+// WantProof asks for an answer of the target soon, also if no request goes to it.
+func (s *Set) WantProof() {
+	s.wantProof.Store(true)
+	s.notify()
 }
 
-// dial opens one link. A connection that was refused while no link is open is
-// evidence that the process is gone.
-func (s *Set) dial(ctx context.Context, warmup *target.Warmup) error {
-	_, generation := s.target.State()
-	l, err := Open(ctx, s.target.Spec.Address, generation, s.broken)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	if _, current := s.target.State(); current != generation || s.closed || !l.Alive() {
-		s.mu.Unlock()
-		l.Close()
-		return &DialError{Address: s.target.Spec.Address, Err: &SpentError{Address: s.target.Spec.Address}}
-	}
-	s.open[l] = struct{}{}
-	first := !s.hasTrusted(generation)
-	if first {
-		l.trusted.Store(true)
-	} else {
-		s.waiting = append(s.waiting, l)
-	}
-	s.mu.Unlock()
-	if first {
-		warmup.Connected(time.Now(), generation)
-		s.Put(l)
-		s.ready()
+func (s *Set) notify() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
 	}
-	return nil
 }
 
 // broken is called once when a link has ended. The last trusted link of a
--- a/service/service.go
+++ b/service/service.go
@@ -63,10 +63,26 @@
 	Name  string
 	Queue *Queue
 
-	view   atomic.Pointer[View]
-	policy Policy
+	view     atomic.Pointer[View]
+	policy   Policy
+	waitedAt atomic.Int64 // when a request last had to wait, Unix nanoseconds
 }
 
+// demandWindow is how long the service counts as short of capacity after a
+// request had to wait.
+const demandWindow = time.Second
+
+// Waited records that a request has to wait for a target.
+func (s *Service) Waited(now time.Time) { s.waitedAt.Store(now.UnixNano()) }
+
+// Wanted implements link.Demand.
+func (s *Service) Wanted(now time.Time) bool {
+	return now.UnixNano()-s.waitedAt.Load() < int64(demandWindow) || s.Queue.Len() > 0
+}
+
+// Ready implements link.Demand.
+func (s *Service) Ready() { s.Queue.WakeAll() }
+
 // New returns a service without targets.
 func New(name string, queueLimit int, policy Policy) *Service {
 	s := &Service{Name: name, Queue: NewQueue(queueLimit), policy: policy}
--- /dev/null
+++ b/target/target_test.go
@@ -0,0 +1,179 @@
+package target_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/target"
+)
+
+var _ = Describe("Target", func() {
+	now := time.Unix(1_000_000, 0)
+	var t *target.Target
+
+	BeforeEach(func() { t = target.New(target.Spec{Name: "orders-1", Slots: 4, Links: 4}) })
+
+	// Guards against a target that is sent to before anything is known about it.
+	It("admits nothing while cold without a lease", func() {
+		Expect(t.Transition(1, target.StateCold, 4)).To(BeTrue())
+		_, ok := t.Admit(now)
+		Expect(ok).To(BeFalse())
+		t.Lease(now.Add(time.Second))
+		_, ok = t.Admit(now)
+		Expect(ok).To(BeTrue())
+	})
+
+	// Guards against "load, compare, add" admission, which overshoots the limit
+	// when many goroutines race.
+	It("never admits more than the limit", func() {
+		t.Transition(1, target.StateWarm, 4)
+		var inFlight, most atomic.Int32
+		var group sync.WaitGroup
+		for range 16 {
+			group.Go(func() {
+				for range 2000 {
+					permit, ok := t.Admit(now)
+					if !ok {
+						continue
+					}
+					count := inFlight.Add(1)
+					for old := most.Load(); count > old && !most.CompareAndSwap(old, count); old = most.Load() {
+					}
+					inFlight.Add(-1)
+					permit.Release()
+				}
+			})
+		}
+		group.Wait()
+		Expect(most.Load()).To(BeNumerically("<=", 4))
+		Expect(t.InFlight()).To(BeZero())
+	})
+
+	// Guards against a restart that is noticed after a request was admitted: the
+	// request must not go to the new, cold process.
+	It("takes back permits of the old process at a restart", func() {
+		t.Transition(1, target.StateWarm, 4)
+		permit, _ := t.Admit(now)
+		Expect(permit.MaySend(now)).To(BeTrue())
+		Expect(t.Restarted(1)).To(BeTrue())
+		Expect(permit.MaySend(now)).To(BeFalse())
+		Expect(t.InFlight()).To(BeZero())
+		permit.Release()
+		Expect(t.InFlight()).To(BeZero())
+	})
+
+	// Guards against two reports of one restart making the new process cold twice.
+	It("counts one restart once", func() {
+		Expect(t.Restarted(1)).To(BeTrue())
+		Expect(t.Restarted(1)).To(BeFalse())
+	})
+
+	// Guards against a holder that was paused between admission and the write.
+	It("forbids sending to a cold target after the lease", func() {
+		t.Transition(1, target.StateCold, 1)
+		t.Lease(now.Add(time.Second))
+		permit, ok := t.Admit(now)
+		Expect(ok).To(BeTrue())
+		Expect(permit.MaySend(now.Add(999 * time.Millisecond))).To(BeTrue())
+		Expect(permit.MaySend(now.Add(time.Second))).To(BeFalse())
+	})
+
+	// Guards against a target that fails fast and therefore looks idle.
+	It("pauses longer after each consecutive failure", func() {
+		t.Transition(1, target.StateWarm, 4)
+		t.Failed(now)
+		Expect(t.Admits(now.Add(49 * time.Millisecond))).To(BeFalse())
+		Expect(t.Admits(now.Add(50 * time.Millisecond))).To(BeTrue())
+		t.Failed(now)
+		Expect(t.Admits(now.Add(99 * time.Millisecond))).To(BeFalse())
+		t.Answered(time.Millisecond)
+		t.Failed(now)
+		Expect(t.Admits(now.Add(50 * time.Millisecond))).To(BeTrue())
+	})
+})
+
+var _ = Describe("Warmup", func() {
+	now := time.Unix(1_000_000, 0)
+	terms := target.ColdTerms{Bears: 1, Duration: 2 * time.Second, Answers: 3, MaxInstances: 7}
+	var t *target.Target
+	var w *target.Warmup
+
+	BeforeEach(func() {
+		t = target.New(target.Spec{Name: "orders-1", Slots: 4, Links: 4})
+		w = target.NewWarmup(t, terms)
+		w.Connected(now, 1)
+	})
+
+	answers := func(count int) {
+		for range count {
+			t.Answered(time.Millisecond)
+		}
+	}
+
+	// Guards against seven instances that each send one request to a server that
+	// bears one.
+	It("gives nothing without the lease where the share is below one", func() {
+		w.Step(now, false)
+		Expect(t.Limit()).To(BeZero())
+		w.Step(now, true)
+		Expect(t.Limit()).To(Equal(1))
+	})
+
+	// Guards against a ramp by time alone, or by answers alone.
+	It("stays cold until the duration has passed and enough answers came", func() {
+		w.Step(now, true)
+		answers(10)
+		w.Step(now.Add(1999*time.Millisecond), true)
+		state, _ := t.State()
+		Expect(state).To(Equal(target.StateCold))
+		w.Step(now.Add(2*time.Second), true)
+		state, _ = t.State()
+		Expect(state).To(Equal(target.StateWarming))
+	})
+
+	It("doubles the limit with each window of answers up to the links", func() {
+		w.ProvedWarm()
+		limits := []int{t.Limit()}
+		for range 3 {
+			answers(t.Limit())
+			w.Step(now, false)
+			limits = append(limits, t.Limit())
+		}
+		Expect(limits).To(Equal([]int{1, 2, 4, 4}))
+		state, _ := t.State()
+		Expect(state).To(Equal(target.StateWarm))
+	})
+
+	// Guards against the ramp of the old process going on after a restart.
+	It("starts again after a restart", func() {
+		w.ProvedWarm()
+		t.Restarted(1)
+		answers(10)
+		w.Step(now.Add(time.Minute), true)
+		Expect(t.Limit()).To(BeZero())
+	})
+})
+
+var _ = Describe("ProbeBudget", func() {
+	// Guards against a budget that each instance spends in full.
+	It("keeps seven instances together within one probe a second", func() {
+		now := time.Unix(1_000_000, 0)
+		var budgets []*target.ProbeBudget
+		for range 7 {
+			budgets = append(budgets, target.NewProbeBudget(1, 7))
+		}
+		sent := 0
+		for step := range 70_000 {
+			for _, b := range budgets {
+				if b.Take(now.Add(time.Duration(step) * time.Millisecond)) {
+					sent++
+				}
+			}
+		}
+		Expect(sent).To(Equal(70))
+	})
+})
--- a/target/warmup.go
+++ b/target/warmup.go
@@ -46,14 +46,20 @@
 	w.answered, w.limit = w.target.Answers(), 0
 }
 
+// Started tells whether a link of the target's current generation was opened.
+// Nothing may be asked or proved about a process before that.
+func (w *Warmup) Started() bool {
+	_, generation := w.target.State()
+	return generation == w.generation && !w.connectedAt.IsZero()
+}
+
 // Step applies the rules to the current state. Leased tells that this instance
 // holds the lease on the cold target; until then only its share is used.
 func (w *Warmup) Step(now time.Time, leased bool) {
-	state, generation := w.target.State()
-	if generation != w.generation || w.connectedAt.IsZero() {
+	if !w.Started() {
 		return
 	}
-	switch state {
+	switch state, _ := w.target.State(); state {
 	case StateCold:
 		w.stepCold(now, leased)
 	case StateWarming:
@@ -99,6 +105,3 @@
 	}
 	w.target.Transition(w.generation, state, w.limit)
 }
-
-// ConnectedAt returns the time of the first link of the generation.
-func (w *Warmup) ConnectedAt() time.Time { return w.connectedAt }
