Add stand-ins for a target server and the log service

Cause: the request path and the configuration reader need outside systems to run against, with faults that a test can switch.

Change: internal/standin/endpoint holds TCP ports that refuse, reset and silence connections; targetserver and logservice follow docs/protocol.md, sections 2 and 3; control holds clients for their control addresses; the standin command runs them as processes.

--- /dev/null
+++ b/internal/standin/endpoint/conn.go
@@ -0,0 +1,75 @@
+package endpoint
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+)
+
+// Conn is an accepted connection of a Port. Once it is silent, received bytes
+// and the peer's close are ignored and sent bytes are discarded, as if the
+// network dropped every packet.
+type Conn struct {
+	net.Conn
+	port   *Port
+	silent atomic.Bool
+	once   sync.Once
+	done   chan struct{}
+}
+
+// Silent tells whether the connection has been silenced.
+func (c *Conn) Silent() bool { return c.silent.Load() }
+
+// Done is closed when this side closes or resets the connection.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Read implements net.Conn. On a silent connection it returns only when a
+// deadline passes or this side closes the connection.
+func (c *Conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if !c.silent.Load() || errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if err != nil {
+			<-c.done
+			return 0, fmt.Errorf("reading from a silent connection: %w", net.ErrClosed)
+		}
+	}
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// CloseWrite tells the peer that no more bytes follow.
+func (c *Conn) CloseWrite() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || c.silent.Load() {
+		return nil
+	}
+	return tcp.CloseWrite()
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.once.Do(func() { close(c.done) })
+	c.port.forget(c)
+	return c.Conn.Close()
+}
+
+// reset closes the connection with a TCP reset instead of a FIN.
+func (c *Conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.once.Do(func() { close(c.done) })
+	_ = c.Conn.Close()
+}
--- /dev/null
+++ b/internal/standin/endpoint/server.go
@@ -0,0 +1,107 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+)
+
+// maxControlBody bounds the body of a control request.
+const maxControlBody = 1 << 20
+
+// Server serves HTTP on a Port until it is closed.
+type Server struct {
+	Port *Port
+	http *http.Server
+	done chan struct{}
+}
+
+// ConnContext adds values to the context of each new connection.
+type ConnContext func(ctx context.Context, conn net.Conn) context.Context
+
+// Serve starts to serve on the port. connContext may be nil.
+func Serve(port *Port, handler http.Handler, connContext ConnContext) *Server {
+	s := &Server{
+		Port: port,
+		http: &http.Server{
+			Handler:           handler,
+			ConnContext:       connContext,
+			ReadHeaderTimeout: time.Minute,
+			// Broken connections are part of the stand-ins' work.
+			ErrorLog: log.New(io.Discard, "", 0),
+		},
+		done: make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(port)
+	}()
+	return s
+}
+
+// ListenAndServe opens a port and serves on it.
+func ListenAndServe(address string, handler http.Handler) (*Server, error) {
+	port, err := Open(address)
+	if err != nil {
+		return nil, err
+	}
+	return Serve(port, handler, nil), nil
+}
+
+// Address is the host:port on which the server listens.
+func (s *Server) Address() string { return s.Port.Address() }
+
+// Close resets all connections and stops to listen.
+func (s *Server) Close() {
+	_ = s.Port.Close()
+	_ = s.http.Close()
+	<-s.done
+}
+
+// Reply writes a JSON body.
+func Reply(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, fmt.Sprintf("encoding the response: %v", err), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(data, '\n'))
+}
+
+// Problem is the JSON body of a refused control request.
+type Problem struct {
+	Problem string `json:"problem"`
+}
+
+// Decode reads a JSON body into value. It answers with status 400 and returns
+// false if the body is malformed or has unknown fields.
+func Decode(w http.ResponseWriter, r *http.Request, value any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxControlBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		Reply(w, http.StatusBadRequest, Problem{Problem: err.Error()})
+		return false
+	}
+	return true
+}
+
+// Abort breaks the connection of the request with a TCP reset.
+func Abort(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		if c, ok := conn.(*Conn); ok {
+			c.reset()
+			c.port.forget(c)
+		} else {
+			_ = conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/standin/targetserver/control.go
@@ -0,0 +1,87 @@
+package targetserver
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"fulmarhoist.example/internal/standin/endpoint"
+)
+
+// State is what a target server is doing now.
+type State struct {
+	Address  string   `json:"address"`
+	BootID   string   `json:"boot_id"`
+	Up       bool     `json:"up"`
+	Cold     bool     `json:"cold"`
+	Draining bool     `json:"draining"`
+	Inside   int64    `json:"inside"`
+	Faults   Faults   `json:"faults"`
+	Counters Counters `json:"counters"`
+}
+
+// Drain is the body of a request to start or end draining.
+type Drain struct {
+	Draining bool `json:"draining"`
+}
+
+func (s *Server) controlRoutes() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/state", func(w http.ResponseWriter, _ *http.Request) {
+		endpoint.Reply(w, http.StatusOK, s.state())
+	})
+	r.Get("/journal", func(w http.ResponseWriter, _ *http.Request) {
+		journal := s.record.copy()
+		journal.Counters = s.counters()
+		endpoint.Reply(w, http.StatusOK, journal)
+	})
+	r.Put("/faults", func(w http.ResponseWriter, r *http.Request) {
+		var faults Faults
+		if !endpoint.Decode(w, r, &faults) {
+			return
+		}
+		if err := s.setFaults(faults); err != nil {
+			endpoint.Reply(w, http.StatusInternalServerError, endpoint.Problem{Problem: err.Error()})
+			return
+		}
+		endpoint.Reply(w, http.StatusOK, s.state())
+	})
+	r.Put("/drain", func(w http.ResponseWriter, r *http.Request) {
+		var drain Drain
+		if !endpoint.Decode(w, r, &drain) {
+			return
+		}
+		s.draining.Store(drain.Draining)
+		endpoint.Reply(w, http.StatusOK, s.state())
+	})
+	r.Post("/restart", func(w http.ResponseWriter, _ *http.Request) {
+		s.crashProcess(s.process.Load())
+		endpoint.Reply(w, http.StatusOK, s.state())
+	})
+	r.Post("/silence", func(w http.ResponseWriter, _ *http.Request) {
+		s.requests.Port.SetSilence(endpoint.SilenceOpen)
+		endpoint.Reply(w, http.StatusOK, s.state())
+	})
+	return r
+}
+
+func (s *Server) state() State {
+	p := s.process.Load()
+	return State{
+		Address:  s.Address(),
+		BootID:   p.bootID,
+		Up:       !p.crashed(),
+		Cold:     p.cold(time.Now()),
+		Draining: s.draining.Load(),
+		Inside:   p.inside.Load(),
+		Faults:   *s.faults.load(),
+		Counters: s.counters(),
+	}
+}
+
+func (s *Server) counters() Counters {
+	counters := s.record.summary()
+	counters.ConnectionsNow, counters.ConnectionsMost = s.requests.Port.Connections()
+	return counters
+}
