Add stand-ins for the instance list and a TCP relay, and specs

Cause: membership and silent connections need a lagging list and network faults between processes.

Change: instancelist serves changes after a lag and never an earlier version; relay cuts, silences and delays connections; control and the standin command cover both; each stand-in has specs.

--- /dev/null
+++ b/internal/standin/cmd/standin/list.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"fulmarhoist.example/internal/standin/instancelist"
+)
+
+func newListCommand() *cobra.Command {
+	var s instancelist.Settings
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "Run the instance list",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			service, err := instancelist.Start(s)
+			if err != nil {
+				return err
+			}
+			return serve(cmd, service)
+		},
+	}
+	addressFlags(cmd, &s.Listen, &s.Control)
+	f := cmd.Flags()
+	f.Int64Var(&s.Faults.LagMS, "lag-ms", 0, "time in milliseconds until readers see a change")
+	f.StringVar((*string)(&s.Faults.Outage), "outage", "", "outage at the start: unavailable or refuse")
+	return cmd
+}
--- a/internal/standin/cmd/standin/main.go
+++ b/internal/standin/cmd/standin/main.go
@@ -29,7 +29,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newTargetCommand(), newLogCommand())
+	root.AddCommand(newTargetCommand(), newLogCommand(), newListCommand(), newRelayCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/standin/cmd/standin/relay.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"fulmarhoist.example/internal/standin/relay"
+)
+
+func newRelayCommand() *cobra.Command {
+	var s relay.Settings
+	cmd := &cobra.Command{
+		Use:   "relay",
+		Short: "Run a TCP relay that injects faults",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			r, err := relay.Start(s)
+			if err != nil {
+				return err
+			}
+			return serve(cmd, r)
+		},
+	}
+	addressFlags(cmd, &s.Listen, &s.Control)
+	f := cmd.Flags()
+	f.StringVar(&s.Upstream, "upstream", "", "address to which connections are passed on")
+	f.StringVar((*string)(&s.Initial.Mode), "mode", string(relay.ModePass), "mode at the start: pass, cut, silence or silence-all")
+	f.Int64Var(&s.Initial.DelayMS, "delay-ms", 0, "delay of each direction in milliseconds")
+	return cmd
+}
--- a/internal/standin/endpoint/conn.go
+++ b/internal/standin/endpoint/conn.go
@@ -65,7 +65,12 @@
 	return c.Conn.Close()
 }
 
-// reset closes the connection with a TCP reset instead of a FIN.
+// Reset closes the connection with a TCP reset instead of a FIN.
+func (c *Conn) Reset() {
+	c.port.forget(c)
+	c.reset()
+}
+
 func (c *Conn) reset() {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
--- a/internal/standin/endpoint/port.go
+++ b/internal/standin/endpoint/port.go
@@ -209,8 +209,7 @@
 // ResetAll resets all open connections.
 func (p *Port) ResetAll() {
 	for _, conn := range p.open() {
-		conn.reset()
-		p.forget(conn)
+		conn.Reset()
 	}
 }
 
--- a/internal/standin/endpoint/server.go
+++ b/internal/standin/endpoint/server.go
@@ -97,8 +97,7 @@
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err == nil {
 		if c, ok := conn.(*Conn); ok {
-			c.reset()
-			c.port.forget(c)
+			c.Reset()
 		} else {
 			_ = conn.Close()
 		}
--- /dev/null
+++ b/internal/standin/relay/relay_test.go
@@ -0,0 +1,117 @@
+package relay_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/internal/standin/control"
+	"fulmarhoist.example/internal/standin/relay"
+)
+
+var _ = Describe("Relay", func() {
+	var r *relay.Relay
+	var ctl *control.Relay
+
+	BeforeEach(func() {
+		upstream, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(upstream.Close)
+		go echo(upstream)
+		r, err = relay.Start(relay.Settings{Listen: "127.0.0.1:0", Control: "127.0.0.1:0", Upstream: upstream.Addr().String()})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(r.Close)
+		ctl = control.NewRelay(r.ControlAddress())
+	})
+
+	dial := func() net.Conn {
+		GinkgoHelper()
+		conn, err := net.Dial("tcp4", r.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	exchange := func(conn net.Conn, patience time.Duration) error {
+		GinkgoHelper()
+		Expect(conn.SetDeadline(time.Now().Add(patience))).To(Succeed())
+		if _, err := fmt.Fprintln(conn, "ping"); err != nil {
+			return err
+		}
+		_, err := bufio.NewReader(conn).ReadString('\n')
+		return err
+	}
+	timedOut := WithTransform(func(err error) bool {
+		var failure net.Error
+		return errors.As(err, &failure) && failure.Timeout()
+	}, BeTrue())
+	set := func(ctx SpecContext, setting relay.Setting) {
+		GinkgoHelper()
+		_, err := ctl.Set(ctx, setting)
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	// Guards against a relay that loses bytes or the end of a stream.
+	It("passes bytes and the end of the stream", func() {
+		conn := dial()
+		Expect(exchange(conn, time.Minute)).To(Succeed())
+		tcp, ok := conn.(*net.TCPConn)
+		Expect(ok).To(BeTrue())
+		Expect(tcp.CloseWrite()).To(Succeed())
+		_, err := conn.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+	})
+
+	// Guards against a cut that lets a connection through, or never heals.
+	It("cuts connections and passes again at the same address", func(ctx SpecContext) {
+		conn := dial()
+		Expect(exchange(conn, time.Minute)).To(Succeed())
+		set(ctx, relay.Setting{Mode: relay.ModeCut})
+		Expect(exchange(conn, time.Minute)).To(MatchError(ContainSubstring("reset")))
+		_, err := net.Dial("tcp4", r.Address())
+		Expect(err).To(MatchError(ContainSubstring("refused")))
+		set(ctx, relay.Setting{Mode: relay.ModePass})
+		Expect(exchange(dial(), time.Minute)).To(Succeed())
+	})
+
+	// Guards against a silent connection that closes or speaks again.
+	It("silences open connections, or all", func(ctx SpecContext) {
+		old := dial()
+		Expect(exchange(old, time.Minute)).To(Succeed())
+		set(ctx, relay.Setting{Mode: relay.ModeSilence})
+		Expect(exchange(old, 20*time.Millisecond)).To(timedOut)
+		Expect(exchange(dial(), time.Minute)).To(Succeed())
+		set(ctx, relay.Setting{Mode: relay.ModeSilenceAll})
+		Expect(exchange(dial(), 20*time.Millisecond)).To(timedOut)
+		set(ctx, relay.Setting{Mode: relay.ModePass})
+		Expect(exchange(old, 20*time.Millisecond)).To(timedOut)
+		Expect(exchange(dial(), time.Minute)).To(Succeed())
+	})
+
+	// Guards against a delay in one direction only.
+	It("delays both directions", func(ctx SpecContext) {
+		set(ctx, relay.Setting{Mode: relay.ModePass, DelayMS: 20})
+		begin := time.Now()
+		Expect(exchange(dial(), time.Minute)).To(Succeed())
+		Expect(time.Since(begin)).To(BeNumerically(">=", 40*time.Millisecond))
+	})
+})
+
+// echo sends back what each connection sends.
+func echo(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			_, _ = io.Copy(conn, conn)
+			_ = conn.Close()
+		}()
+	}
+}
--- /dev/null
+++ b/internal/standin/targetserver/server_test.go
@@ -0,0 +1,285 @@
+package targetserver_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/internal/standin/control"
+	"fulmarhoist.example/internal/standin/targetserver"
+)
+
+const (
+	attemptA = "00000000000000aa"
+	attemptB = "00000000000000bb"
+	forever  = time.Hour
+)
+
+// reply is a whole response, or the error that came instead.
+type reply struct {
+	Status int
+	Header http.Header
+	Body   string
+	Err    error
+}
+
+var _ = Describe("Server", func() {
+	var (
+		ctx      context.Context
+		settings targetserver.Settings
+		server   *targetserver.Server
+		ctl      *control.Target
+		client   *http.Client
+	)
+
+	BeforeEach(func() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		settings = targetserver.Settings{
+			Listen: "127.0.0.1:0", Control: "127.0.0.1:0", Service: "orders",
+			Slots: 1, Queue: 1, Seed: 1, RestartAfter: time.Millisecond,
+		}
+	})
+
+	start := func() {
+		GinkgoHelper()
+		var err error
+		server, err = targetserver.Start(settings)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		ctl = control.NewTarget(server.ControlAddress())
+		transport := &http.Transport{}
+		DeferCleanup(transport.CloseIdleConnections)
+		client = &http.Client{Transport: transport}
+	}
+	send := func(ctx context.Context, path string, header ...string) reply {
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+server.Address()+path, strings.NewReader("body"))
+		if err != nil {
+			return reply{Err: err}
+		}
+		for i := 0; i < len(header); i += 2 {
+			r.Header.Set(header[i], header[i+1])
+		}
+		response, err := client.Do(r)
+		if err != nil {
+			return reply{Err: err}
+		}
+		defer func() { _ = response.Body.Close() }()
+		body, err := io.ReadAll(response.Body)
+		return reply{Status: response.StatusCode, Header: response.Header, Body: string(body), Err: err}
+	}
+	sendAsync := func(ctx context.Context, path string, header ...string) <-chan reply {
+		replies := make(chan reply, 1)
+		go func() { replies <- send(ctx, path, header...) }()
+		return replies
+	}
+	state := func() targetserver.State {
+		GinkgoHelper()
+		s, err := ctl.State(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		return s
+	}
+	set := func(faults targetserver.Faults) {
+		GinkgoHelper()
+		_, err := ctl.SetFaults(ctx, faults)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	inside := func() int64 { return state().Inside }
+	executions := func() int64 { return state().Counters.Executions }
+	outcomes := func() []targetserver.Outcome {
+		GinkgoHelper()
+		journal, err := ctl.Journal(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		list := make([]targetserver.Outcome, len(journal.Entries))
+		for i, e := range journal.Entries {
+			list[i] = e.Outcome
+		}
+		return list
+	}
+
+	// Guards against an echo by which a test could not tell two answers apart.
+	It("answers with an echo of the request and records it", func() {
+		start()
+		got := send(ctx, "/a/b?pad=10", "Fulmarhoist-Attempt-Id", attemptA, "Fulmarhoist-Request-Key", "t/1",
+			"Fulmarhoist-Class", "reorder", "Fulmarhoist-Instance", "entry-1")
+		Expect(got.Err).NotTo(HaveOccurred())
+		Expect(got.Body).To(Equal(string(targetserver.AnswerFor("orders", "t/1", "/a/b", []byte("body"), 10).Bytes())))
+		Expect(got.Header.Get("Fulmarhoist-Attempt-Id")).To(Equal(attemptA))
+		Expect(got.Header.Get("Fulmarhoist-Boot-Id")).To(Equal(state().BootID))
+		Expect(got.Header.Get("Fulmarhoist-Load")).To(Equal("0/1"))
+
+		journal, err := ctl.Journal(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(journal.Entries).To(HaveLen(1))
+		e := journal.Entries[0]
+		Expect([]string{e.RequestKey, e.Class, e.AttemptID, e.Instance, e.Path}).To(
+			Equal([]string{"t/1", "reorder", attemptA, "entry-1", "/a/b"}))
+		Expect(e.Ran()).To(BeTrue())
+		Expect(e.Ended).NotTo(BeZero())
+		Expect(e.Outcome).To(Equal(targetserver.OutcomeAnswered))
+	})
+
+	// Guards against a queue without bound and a refusal that ran.
+	It("refuses as not run what finds no room", func() {
+		settings.ServiceMean = forever
+		start()
+		sendAsync(ctx, "/1")
+		sendAsync(ctx, "/2")
+		Eventually(inside).Should(Equal(int64(2)))
+		got := send(ctx, "/3")
+		Expect(got.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.Header.Get("Fulmarhoist-Not-Run")).To(Equal("1"))
+		Expect(state().Counters).To(And(HaveField("Executions", int64(1)), HaveField("Shed", int64(1))))
+	})
+
+	// Guards against an overload in the cold that goes unnoticed.
+	It("falls over when it gets more than it bears while cold", func() {
+		settings.ServiceMean, settings.ColdFor, settings.ColdBears, settings.Slots = forever, forever, 1, 4
+		start()
+		boot := state().BootID
+		first := sendAsync(ctx, "/1")
+		Eventually(inside).Should(Equal(int64(1)))
+		Expect(send(ctx, "/2").Err).To(HaveOccurred())
+		Eventually(first).Should(Receive(HaveField("Err", HaveOccurred())))
+		Eventually(state).Should(And(HaveField("Up", true), HaveField("Cold", true), HaveField("BootID", Not(Equal(boot)))))
+		Expect(state().Counters).To(And(HaveField("OverloadsWhileCold", int64(1)), HaveField("MaxInsideWhileCold", int64(2))))
+		Expect(outcomes()).To(HaveEach(targetserver.OutcomeCrashed))
+	})
+
+	// Guards against a crash that leaves other requests running, and against a
+	// restart without a new boot id.
+	It("crashes on a chosen path and takes other requests along", func() {
+		settings.ServiceMean, settings.Slots = forever, 2
+		start()
+		boot := state().BootID
+		set(targetserver.Faults{CrashOnPath: "poison"})
+		bystander := sendAsync(ctx, "/good")
+		Eventually(executions).Should(Equal(int64(1)))
+		Expect(send(ctx, "/poison/1").Err).To(HaveOccurred())
+		Eventually(bystander).Should(Receive(HaveField("Err", HaveOccurred())))
+		Eventually(outcomes).Should(Equal([]targetserver.Outcome{targetserver.OutcomeCrashed, targetserver.OutcomeCrashed}))
+		Eventually(state).Should(And(HaveField("Up", true), HaveField("BootID", Not(Equal(boot)))))
+		_, err := ctl.Restart(ctx)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Guards against a cancellation that is confirmed although the work ran.
+	It("confirms a cancellation only before the start", func() {
+		settings.ServiceMean = forever
+		start()
+		running := sendAsync(ctx, "/1", "Fulmarhoist-Attempt-Id", attemptA)
+		Eventually(executions).Should(Equal(int64(1)))
+		waiting := sendAsync(ctx, "/2", "Fulmarhoist-Attempt-Id", attemptB)
+		Eventually(inside).Should(Equal(int64(2)))
+
+		got := send(ctx, "/fulmarhoist-cancel", "Fulmarhoist-Attempt-Id", attemptB)
+		Expect(got.Status).To(Equal(http.StatusOK))
+		Expect(got.Header.Get("Fulmarhoist-Not-Run")).To(Equal("1"))
+		var refused reply
+		Eventually(waiting).Should(Receive(&refused))
+		Expect(refused.Header.Get("Fulmarhoist-Not-Run")).To(Equal("1"))
+
+		for _, id := range []string{attemptA, "00000000000000cc"} {
+			got = send(ctx, "/fulmarhoist-cancel", "Fulmarhoist-Attempt-Id", id)
+			Expect(got.Status).To(Equal(http.StatusConflict))
+			Expect(got.Header.Get("Fulmarhoist-Not-Run")).To(BeEmpty())
+		}
+		Eventually(running).Should(Receive(HaveField("Status", http.StatusInternalServerError)))
+		Expect(outcomes()).To(Equal([]targetserver.Outcome{targetserver.OutcomeCanceled, targetserver.OutcomeShed}))
+	})
+
+	// Guards against work that goes on after nobody waits for it.
+	It("stops at the deadline and when the connection closes", func() {
+		settings.ServiceMean = forever
+		start()
+		got := send(ctx, "/1", "Fulmarhoist-Deadline", "20")
+		Expect(got.Status).To(Equal(http.StatusGatewayTimeout))
+		Expect(got.Header.Get("Fulmarhoist-Not-Run")).To(BeEmpty())
+
+		leaving, leave := context.WithCancel(ctx)
+		sendAsync(leaving, "/2")
+		Eventually(executions).Should(Equal(int64(2)))
+		got = send(ctx, "/3", "Fulmarhoist-Deadline", "20")
+		Expect(got.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.Header.Get("Fulmarhoist-Not-Run")).To(Equal("1"))
+		leave()
+		Eventually(outcomes).Should(Equal([]targetserver.Outcome{
+			targetserver.OutcomeCanceled, targetserver.OutcomeCanceled, targetserver.OutcomeShed,
+		}))
+	})
+
+	// Guards against drain that takes new work.
+	It("refuses new work while draining", func() {
+		start()
+		_, err := ctl.Drain(ctx, true)
+		Expect(err).NotTo(HaveOccurred())
+		got := send(ctx, "/1")
+		Expect(got.Status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.Header.Get("Fulmarhoist-Draining")).To(Equal("1"))
+		Expect(got.Header.Get("Fulmarhoist-Not-Run")).To(Equal("1"))
+		response, err := client.Get("http://" + server.Address() + "/fulmarhoist-load")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(state().Counters.LoadProbes).To(Equal(int64(1)))
+	})
+
+	// Guards against a load endpoint that is fresher than its setting says.
+	It("reports its load with a lag", func() {
+		settings.ServiceMean, settings.LoadLag = forever, forever
+		start()
+		sendAsync(ctx, "/1")
+		Eventually(inside).Should(Equal(int64(1)))
+		response, err := client.Get("http://" + server.Address() + "/fulmarhoist-load")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Body.Close()).To(Succeed())
+		Expect(response.StatusCode).To(Equal(http.StatusNoContent))
+		Expect(response.Header.Get("Fulmarhoist-Load")).To(Equal("0/1"))
+	})
+
+	// Guards against faults that spoil too many answers or none.
+	It("spoils as many answers as it is told to", func() {
+		start()
+		set(targetserver.Faults{CrossAnswers: 1})
+		Expect(send(ctx, "/1", "Fulmarhoist-Attempt-Id", attemptA).Header.Get("Fulmarhoist-Attempt-Id")).NotTo(Equal(attemptA))
+		Expect(send(ctx, "/2", "Fulmarhoist-Attempt-Id", attemptA).Header.Get("Fulmarhoist-Attempt-Id")).To(Equal(attemptA))
+		set(targetserver.Faults{TruncateAnswers: 1})
+		Expect(send(ctx, "/3").Err).To(MatchError(io.ErrUnexpectedEOF))
+		Expect(send(ctx, "/4").Err).NotTo(HaveOccurred())
+		set(targetserver.Faults{FailFast: true})
+		Expect(send(ctx, "/5").Status).To(Equal(http.StatusInternalServerError))
+		set(targetserver.Faults{LateAnswers: 1, LateByMS: 3_600_000})
+		limited, cancel := context.WithCancel(ctx)
+		late := sendAsync(limited, "/6")
+		Eventually(outcomes).Should(And(HaveLen(6), HaveEach(targetserver.OutcomeAnswered)))
+		Consistently(late, "20ms").ShouldNot(Receive())
+		cancel()
+	})
+
+	// Guards against a silent connection that closes or still answers.
+	It("silences open connections and serves new ones", func() {
+		start()
+		Expect(send(ctx, "/1").Status).To(Equal(http.StatusOK))
+		_, err := ctl.Silence(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		silent := sendAsync(ctx, "/2")
+		Consistently(silent, "20ms").ShouldNot(Receive())
+		Expect(send(ctx, "/3").Status).To(Equal(http.StatusOK))
+		Expect(outcomes()).To(HaveLen(2))
+	})
+
+	// Guards against refused connections that cannot be admitted again.
+	It("refuses connections and admits them again at the same address", func() {
+		start()
+		set(targetserver.Faults{RefuseConnections: true})
+		Expect(send(ctx, "/1").Err).To(MatchError(ContainSubstring("connection refused")))
+		set(targetserver.Faults{})
+		Expect(send(ctx, "/2").Status).To(Equal(http.StatusOK))
+	})
+})
