--- /dev/null
+++ b/platformhttp/list_test.go
@@ -0,0 +1,83 @@
+package platformhttp_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/internal/standin/control"
+	"fulmarhoist.example/internal/standin/instancelist"
+	"fulmarhoist.example/platform"
+	"fulmarhoist.example/platformhttp"
+)
+
+var _ = Describe("ListClient", func() {
+	client := func(address string) *platformhttp.ListClient {
+		c, err := platformhttp.NewListClient("http://"+address, platformhttp.Settings{})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		return c
+	}
+
+	// Guards against members that lose a field on their way, and against an
+	// outage that looks like an empty list.
+	It("lists members and reports an outage", func(ctx SpecContext) {
+		service, err := instancelist.Start(instancelist.Settings{Listen: loopback, Control: loopback})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(service.Close)
+		list := client(service.Address())
+		listing, err := list.List(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listing).To(Equal(platform.Listing{Members: []platform.Member{}}))
+
+		c := control.NewList(service.ControlAddress())
+		_, err = c.Put(ctx, instancelist.Member{ID: "t-1", Kind: "target", Zone: "az-1", Address: "127.0.0.1:1"})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = c.Leave(ctx, "t-1")
+		Expect(err).NotTo(HaveOccurred())
+		listing, err = list.List(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listing.Version).To(Equal(uint64(2)))
+		Expect(listing.Members).To(Equal([]platform.Member{
+			{ID: "t-1", Kind: platform.KindTarget, Zone: "az-1", Address: "127.0.0.1:1", Leaving: true},
+		}))
+
+		for _, outage := range []instancelist.Outage{instancelist.OutageUnavailable, instancelist.OutageRefuse} {
+			_, err = c.SetFaults(ctx, instancelist.Faults{Outage: outage})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = list.List(ctx)
+			Expect(unavailability(err).Service).To(Equal("instance list"))
+		}
+	})
+
+	// Guards against a malformed answer that empties the roster.
+	DescribeTable("refuses a malformed listing",
+		func(ctx SpecContext, status int, body string) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(status)
+				_, _ = w.Write([]byte(body))
+			}))
+			DeferCleanup(server.Close)
+			_, err := client(server.Listener.Addr().String()).List(ctx)
+			Expect(unavailability(err).Err).To(HaveOccurred())
+		},
+		Entry("no JSON", 200, ""),
+		Entry("no members", 200, `{"version":1}`),
+		Entry("no version", 200, `{"members":[]}`),
+		Entry("member without an id", 200, `{"version":1,"members":[{"kind":"entry","address":"a:1"}]}`),
+		Entry("unknown status", 500, `{"version":1,"members":[]}`),
+	)
+
+	// Guards against a kind that is added later and makes the list unreadable.
+	It("leaves out members of an unknown kind", func(ctx SpecContext) {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"version":1,"members":[{"id":"x","kind":"cache","address":"a:1"}]}`))
+		}))
+		DeferCleanup(server.Close)
+		listing, err := client(server.Listener.Addr().String()).List(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listing.Members).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/platformhttp/suite_test.go
@@ -0,0 +1,13 @@
+package platformhttp_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestPlatformHTTP(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "platformhttp")
+}
