Cover kept connections that break under an append

Change: a spec runs appends against a service that breaks every kept connection on its second request, and counts the requests.

--- a/platformhttp/log_test.go
+++ b/platformhttp/log_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -356,6 +357,26 @@
 		Expect(requests.Load()).To(Equal(int32(1)))
 	})
 
+	// Guards against the library sending an append again after a connection
+	// that it kept from an earlier append broke under it.
+	It("sends each append once to a service that breaks kept connections", func(ctx SpecContext) {
+		var requests atomic.Int32
+		var seen sync.Map
+		client := serve(func(w http.ResponseWriter, r *http.Request) {
+			requests.Add(1)
+			if _, kept := seen.LoadOrStore(r.RemoteAddr, true); kept {
+				panic(http.ErrAbortHandler)
+			}
+			w.WriteHeader(http.StatusCreated)
+			_, _ = w.Write([]byte(`{"offset":1}`))
+		})
+		for range 3 {
+			_, err := client.Append(ctx, platform.ConfigStream, []byte("x"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(requests.Load()).To(Equal(int32(3)))
+	})
+
 	// Guards against an unexpected answer that is taken for "not stored".
 	DescribeTable("reports an append as uncertain after an unclear answer",
 		func(ctx SpecContext, status int, body string) {
