--- a/contract/ticket.go
+++ b/contract/ticket.go
@@ -34,10 +34,16 @@
 func (k Key) IsZero() bool { return k.Name == "" }
 
 // ParseTicket reads the textual form of a ticket, "instance.incarnation.epoch".
+// The name of the instance may itself contain dots.
 func ParseTicket(text string) (Ticket, error) {
-	parts := strings.Split(text, ".")
-	if len(parts) != 3 || parts[0] == "" {
-		return Ticket{}, &FieldError{Field: "ticket", Problem: "is not of the form instance.incarnation.epoch"}
+	parts := make([]string, 3)
+	parts[0] = text
+	for i := 2; i > 0; i-- {
+		dot := strings.LastIndexByte(parts[0], '.')
+		if dot <= 0 {
+			return Ticket{}, &FieldError{Field: "ticket", Problem: "is not of the form instance.incarnation.epoch"}
+		}
+		parts[0], parts[i] = parts[0][:dot], parts[0][dot+1:]
 	}
 	incarnation, err := strconv.ParseUint(parts[1], 16, 64)
 	if err != nil {
