contract: return all bytes of dropped ledger tables

Headers were kept without a bound, a second Settle panicked, and a clock that went back issued expired tickets.

Change: a dropped table is marked in the same word that counts its bytes; headers count towards the limits; the first Settle decides; Ticket never goes back.

Result: specs pass with -race.

--- a/contract/ledger.go
+++ b/contract/ledger.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"bytes"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -13,10 +14,11 @@
 	// EpochsKept is the number of epochs, with the current one, whose tickets
 	// are honored. Together with EpochLength it gives callers 14 to 15 minutes.
 	EpochsKept = 15
-	// MaxAnswerBytes is the largest body that is kept to be replayed.
+	// MaxAnswerBytes is the largest answer, body and headers, that is kept to be
+	// replayed.
 	MaxAnswerBytes = 64 << 10
-	// MaxLedgerBytes bounds the bodies kept by one ledger. Beyond it the
-	// outcome of a request is kept without its body.
+	// MaxLedgerBytes bounds the answers kept by one ledger. Beyond it the
+	// outcome and the status are kept without body and headers.
 	MaxLedgerBytes = 64 << 20
 )
 
@@ -26,14 +28,15 @@
 	Status      int
 	Header      map[string][]string
 	Body        []byte
-	BodyDropped bool // the body was too large to keep
+	BodyDropped bool // body and headers were too large to keep
 }
 
 // Entry is the record of one key. The goroutine that opened it settles it; any
 // number of others wait on Done and then read Answer.
 type Entry struct {
-	done   chan struct{}
-	answer atomic.Pointer[Answer]
+	done    chan struct{}
+	answer  atomic.Pointer[Answer]
+	settled atomic.Bool // taken by the call that settles the entry
 }
 
 // Done is closed when the entry is settled.
@@ -51,13 +54,29 @@
 	return fmt.Sprintf("ticket %s belongs to another incarnation", e.Ticket)
 }
 
-// epochTable holds the keys of one epoch. Bytes counts the kept bodies.
+// epochTable holds the keys of one epoch. The field bytes counts the kept
+// answers; it is tableDropped once the table has been dropped.
 type epochTable struct {
 	epoch   uint64
 	entries sync.Map // key text to *Entry
 	bytes   atomic.Int64
 }
 
+const tableDropped = -1
+
+// book counts bytes on the table, and reports false if it was dropped.
+func (t *epochTable) book(size int64) bool {
+	for {
+		used := t.bytes.Load()
+		if used == tableDropped {
+			return false
+		}
+		if t.bytes.CompareAndSwap(used, used+size) {
+			return true
+		}
+	}
+}
+
 // Ledger remembers every key that this incarnation was asked to run, until the
 // key's ticket expires. It is safe for concurrent use: the list of tables is an
 // immutable slice, replaced whole by compare-and-swap.
@@ -70,8 +89,8 @@
 }
 
 // NewLedger returns the ledger of an incarnation that started at the given
-// time. Times passed to its methods must come from the same clock, which must
-// not go backwards.
+// time. Times passed to its methods must come from the same clock. An earlier
+// time than one passed before does not bring an expired epoch back.
 func NewLedger(instance string, incarnation uint64, started time.Time) *Ledger {
 	l := &Ledger{instance: instance, incarnation: incarnation, started: started}
 	l.tables.Store(&[]*epochTable{{epoch: 0}})
@@ -80,7 +99,9 @@
 
 // Ticket returns the newest ticket of this incarnation.
 func (l *Ledger) Ticket(now time.Time) Ticket {
-	return Ticket{Instance: l.instance, Incarnation: l.incarnation, Epoch: l.epochAt(now)}
+	tables := *l.tables.Load()
+	epoch := max(tables[len(tables)-1].epoch, l.epochAt(now))
+	return Ticket{Instance: l.instance, Incarnation: l.incarnation, Epoch: epoch}
 }
 
 // Open returns the entry of a key. The result first is true for exactly one
@@ -103,22 +124,49 @@
 }
 
 // Settle records the outcome of an entry that Open returned as first, and wakes
-// everyone who waits for it. A body that does not fit is dropped; the outcome is
-// kept.
+// everyone who waits for it. The first call decides. Body and headers that do
+// not fit are dropped; the outcome and the status are kept.
 func (l *Ledger) Settle(key Key, entry *Entry, answer Answer) {
-	size := int64(len(answer.Body))
-	table := l.tableFor(key.Ticket.Epoch)
-	if table == nil || size > MaxAnswerBytes || !l.reserve(size) {
-		answer.BodyDropped = size > 0
-		answer.Body = nil
-	} else {
-		table.bytes.Add(size)
+	if !entry.settled.CompareAndSwap(false, true) {
+		return
+	}
+	size := answer.size()
+	if size > 0 && !l.keep(key.Ticket.Epoch, size) {
+		answer.BodyDropped = true
+		answer.Body, answer.Header = nil, nil
+	}
+	if cap(answer.Body) > len(answer.Body)+len(answer.Body)/4 {
+		answer.Body = bytes.Clone(answer.Body) // do not retain a larger buffer
 	}
 	entry.answer.Store(&answer)
 	close(entry.done)
 }
 
-// reserve takes room for a body if the ledger has it.
+func (a *Answer) size() int64 {
+	size := len(a.Body)
+	for name, values := range a.Header {
+		size += len(name)
+		for _, value := range values {
+			size += len(value)
+		}
+	}
+	return int64(size)
+}
+
+// keep counts an answer on the ledger and on the table of its epoch.
+func (l *Ledger) keep(epoch uint64, size int64) bool {
+	table := l.tableFor(epoch)
+	if table == nil || size > MaxAnswerBytes || !l.reserve(size) {
+		return false
+	}
+	if !table.book(size) {
+		l.bytes.Add(-size)
+		return false
+	}
+	return true
+}
+
+// reserve takes room for an answer if the ledger has it.
 func (l *Ledger) reserve(size int64) bool {
 	for {
 		used := l.bytes.Load()
@@ -189,7 +237,10 @@
 func (l *Ledger) releaseExpired(tables []*epochTable, current uint64) {
 	for _, table := range tables {
 		if table.epoch+EpochsKept <= current {
-			l.bytes.Add(-table.bytes.Load())
+			l.bytes.Add(-table.bytes.Swap(tableDropped))
 		}
 	}
 }
+
+// KeptBytes returns the bytes of the answers that the ledger keeps.
+func (l *Ledger) KeptBytes() int64 { return l.bytes.Load() }
