contract: make an entry's channel only when somebody waits

Cause: a channel per entry took 112 of 373 bytes, and most entries are never joined.

Change: Done makes the channel; Settle replaces it with one that is closed.

--- a/contract/ledger.go
+++ b/contract/ledger.go
@@ -34,13 +34,31 @@
 // Entry is the record of one key. The goroutine that opened it settles it; any
 // number of others wait on Done and then read Answer.
 type Entry struct {
-	done    chan struct{}
 	answer  atomic.Pointer[Answer]
 	settled atomic.Bool // taken by the call that settles the entry
+	// done is made when somebody waits, because most entries are never joined
+	// and a channel takes a quarter of the memory of an entry.
+	done atomic.Pointer[chan struct{}]
 }
 
+// settledDone is the channel of every settled entry.
+var settledDone = func() chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}()
+
 // Done is closed when the entry is settled.
-func (e *Entry) Done() <-chan struct{} { return e.done }
+func (e *Entry) Done() <-chan struct{} {
+	if done := e.done.Load(); done != nil {
+		return *done
+	}
+	fresh := make(chan struct{})
+	if e.done.CompareAndSwap(nil, &fresh) {
+		return fresh
+	}
+	return *e.done.Load()
+}
 
 // Answer returns the recorded answer, or nil if the entry is not settled.
 func (e *Entry) Answer() *Answer { return e.answer.Load() }
@@ -118,7 +136,7 @@
 	if found, ok := table.entries.Load(key.Name); ok {
 		return found.(*Entry), false, nil
 	}
-	fresh := &Entry{done: make(chan struct{})}
+	fresh := &Entry{}
 	found, loaded := table.entries.LoadOrStore(key.Name, fresh)
 	return found.(*Entry), !loaded, nil
 }
@@ -139,7 +157,9 @@
 		answer.Body = bytes.Clone(answer.Body) // do not retain a larger buffer
 	}
 	entry.answer.Store(&answer)
-	close(entry.done)
+	if waited := entry.done.Swap(&settledDone); waited != nil {
+		close(*waited)
+	}
 }
 
 func (a *Answer) size() int64 {
--- a/contract/ledger_property_test.go
+++ b/contract/ledger_property_test.go
@@ -150,6 +150,22 @@
 		Expect(ledger.KeptBytes()).To(BeZero())
 	})
 
+	// Guards against a resend that waits for ever beside Settle.
+	It("wakes everyone who joins before, during or after Settle", func() {
+		ledger := contract.NewLedger("entry-1", 7, start)
+		var group sync.WaitGroup
+		for i := range 2_000 {
+			k := contract.Key{Ticket: ledger.Ticket(start), Name: fmt.Sprint(i)}
+			entry, _, err := ledger.Open(start, k)
+			Expect(err).NotTo(HaveOccurred())
+			for range 3 {
+				group.Go(func() { <-entry.Done() })
+			}
+			group.Go(func() { ledger.Settle(k, entry, contract.Answer{Status: 200}) })
+		}
+		group.Wait()
+	})
+
 	// Guards against headers that are kept without a bound.
 	It("counts headers and drops them with the body if they are too large", func() {
 		ledger := contract.NewLedger("entry-1", 7, start)
