--- /dev/null
+++ b/service/budget_test.go
@@ -0,0 +1,101 @@
+package service_test
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"fulmarhoist.example/service"
+)
+
+var _ = Describe("RetryBudget", func() {
+	start := time.Unix(1_000_000, 0)
+
+	// Guards against retries beyond the share in any window of whole seconds,
+	// and against a budget that refuses what the share allows.
+	It("grants exactly what the window allows", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			percent := rapid.IntRange(0, 50).Draw(t, "percent")
+			b := service.NewRetryBudget(percent)
+			clock, second := int64(100), int64(0) // second is the latest that the budget saw
+			requests, retries := map[int64]int{}, map[int64]int{}
+			sum := func(counts map[int64]int) (total int) {
+				for s := second - 9; s <= second; s++ {
+					total += counts[s]
+				}
+				return total
+			}
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				clock += rapid.SampledFrom([]int64{0, 0, 0, 1, 3, 9, 10, 1000}).Draw(t, "pass")
+				seen := clock - rapid.SampledFrom([]int64{0, 0, 0, 5, 50}).Draw(t, "back")
+				now := start.Add(time.Duration(seen) * time.Second)
+				newRequests := rapid.IntRange(0, 40).Draw(t, "requests")
+				newRetries := rapid.IntRange(0, 5).Draw(t, "retries")
+				if newRequests+newRetries == 0 {
+					continue // the budget does not see this time
+				}
+				second = max(second, seen)
+				for range newRequests {
+					b.Request(now)
+					requests[second]++
+				}
+				for range newRetries {
+					want := (sum(retries)+1)*100 <= 300+percent*sum(requests)
+					if got := b.Retry(now); got != want {
+						t.Fatalf("retry = %v after %d of %d requests", got, sum(retries), sum(requests))
+					}
+					if want {
+						retries[second]++
+					}
+				}
+			}
+		})
+	})
+
+	// Guards against a budget that concurrent goroutines overspend.
+	It("is not overspent by concurrent retries", func() {
+		b := service.NewRetryBudget(10)
+		for range 1_000 {
+			b.Request(start)
+		}
+		var granted atomic.Int32
+		var group sync.WaitGroup
+		for range 16 {
+			group.Go(func() {
+				for i := range 100 {
+					if b.Retry(start.Add(time.Duration(i%5) * time.Second)) {
+						granted.Add(1)
+					}
+				}
+			})
+		}
+		group.Wait()
+		Expect(granted.Load()).To(Equal(int32(103)))
+	})
+})
+
+func BenchmarkRetryBudgetRequest(b *testing.B) {
+	budget, now := service.NewRetryBudget(10), time.Unix(1_000_000, 0)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			budget.Request(now)
+		}
+	})
+}
+
+// BenchmarkRetryBudgetRetry measures a spent budget, the case under overload.
+func BenchmarkRetryBudgetRetry(b *testing.B) {
+	budget, now := service.NewRetryBudget(10), time.Unix(1_000_000, 0)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			budget.Retry(now)
+		}
+	})
+}
