service: keep every wake-up, check deadlines and displace in the queue

Cause: specs on the first form showed that a wake-up between a failed choice and Rejoin was lost, that Rejoin of a waiting request put it in the heap twice, and that a second Leave passed the same wake-up on again. Rejoin ignored the limit, so repeated WakeAll calls could grow the queue beyond it (found by reading, not by a spec).

Change: wake-ups that find nobody are counted, and a waiter that saw an older count chooses again. JoinAt refuses requests that would miss their deadline, lets a better rank displace a worse one, and lets waits past their bound go first; woken requests keep their place until Taken, Rejoin or Leave. Lists per rank replace the heap.

--- a/service/queue.go
+++ b/service/queue.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math/bits"
 	"sync"
 	"time"
 )
@@ -10,19 +11,48 @@
 // Rank orders waiting requests; a lower rank goes first.
 type Rank uint8
 
+// Demand describes a request that is about to wait.
+type Demand struct {
+	Rank Rank
+	// Deadline is the time by which the request must be answered; zero if it
+	// has none.
+	Deadline time.Time
+	// Run is the expected time at a target, which the deadline must leave.
+	Run time.Duration
+	// MaxWait is the time after which a request that may wait goes ahead of
+	// every other; 0 if it never does.
+	MaxWait time.Duration
+	// Kept is true for a request that no other may displace, such as an upload.
+	Kept bool
+	// Seen is the result of Queue.Seen before the choice that found no target.
+	// A wake-up that came since then is not lost. Zero means that the request
+	// chooses again after it has joined.
+	Seen uint64
+}
+
 // Waiter is a request that waits for a target.
 type Waiter struct {
-	rank     Rank
-	deadline time.Time
-	sequence uint64
-	index    int // place in the heap, -1 while not queued
-	woken    bool
-	ready    chan struct{}
+	demand    Demand
+	sequence  uint64
+	overdueAt time.Time
+	list      *waiterList // nil while not queued
+	prev      *Waiter
+	next      *Waiter
+	index     int // place in the heap of bounded waits, -1 while not there
+	woken     bool
+	displaced bool
+	counted   bool // holds one of the queue's places
+	seen      uint64
+	ready     chan struct{}
 }
 
-// Ready is closed when the request should choose again.
+// Ready is closed when the request should choose again, or was displaced.
 func (w *Waiter) Ready() <-chan struct{} { return w.ready }
 
+// Displaced tells, after Ready was closed, whether a request of a better rank
+// took the place of this one. It did not run and must not join again.
+func (w *Waiter) Displaced() bool { return w.displaced }
+
 // OverflowError reports a queue that holds as many requests as it may.
 type OverflowError struct {
 	Limit int
@@ -32,52 +62,132 @@
 	return fmt.Sprintf("queue holds %d requests already", e.Limit)
 }
 
+// LateError reports a request that would miss its deadline in the queue.
+type LateError struct {
+	Wait time.Duration // expected wait and run time
+	Left time.Duration // time to the deadline
+}
+
+func (e *LateError) Error() string {
+	return fmt.Sprintf("request needs %v and has %v left", e.Wait, e.Left)
+}
+
 // Queue holds the requests of one service that wait for a target, ordered by
-// rank, then by arrival. A short mutex guards the heap; waiting is on the
-// waiter's channel.
+// rank, then by arrival. Requests that waited past their bound go first. A short
+// mutex guards the lists; waiting is on the waiter's channel.
+//
+// A caller that found no target calls JoinAt, waits for Ready, and chooses
+// again. If it then finds a target it calls Taken, otherwise Rejoin. A caller
+// that gives up, at any point, calls Leave.
 type Queue struct {
 	limit int
 
 	mu       sync.Mutex
-	waiting  waiterHeap
+	ranks    [256]waiterList
+	occupied [4]uint64 // one bit per rank with waiters
+	bounded  boundedHeap
+	length   int
+	places   int // waiters that count against the limit, with woken ones
 	sequence uint64
+	// unclaimed counts the wake-ups that found nobody, and each WakeAll. A
+	// waiter that saw an older count chooses again instead of waiting.
+	unclaimed uint64
+	now       time.Time
+	rate      serviceRate
 }
 
 // NewQueue returns a queue that holds up to limit requests.
-func NewQueue(limit int) *Queue { return &Queue{limit: limit} }
+func NewQueue(limit int) *Queue { return &Queue{limit: limit, unclaimed: 1} }
 
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiting)
+	return q.length
 }
 
-// Join adds a request. A full queue gives an *OverflowError.
+// Seen returns a mark for Demand.Seen. It is taken before a choice.
+func (q *Queue) Seen() uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.unclaimed
+}
+
+// Join adds a request that cannot be displaced and whose deadline is not checked.
+// A full queue gives an *OverflowError. The caller chooses again after Join and
+// before it waits, since a permit may have been released in between.
+//
+// Deprecated: JoinAt checks the deadline and loses no wake-up.
 func (q *Queue) Join(rank Rank, deadline time.Time) (*Waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.waiting) >= q.limit {
+	if q.places >= q.limit || q.length >= q.limit {
 		return nil, &OverflowError{q.limit}
 	}
-	q.sequence++
-	w := &Waiter{rank: rank, deadline: deadline, sequence: q.sequence}
-	q.push(w)
+	return q.add(Demand{Rank: rank, Deadline: deadline, Kept: true}, false), nil
+}
+
+// JoinAt adds a request. It gives a *LateError if the request would miss its
+// deadline given the requests ahead and the recent service rate. If the queue is
+// full, the last request of the worst rank below the new one is displaced; if
+// there is none, JoinAt gives an *OverflowError.
+func (q *Queue) JoinAt(now time.Time, demand Demand) (*Waiter, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.advance(now)
+	if !demand.Deadline.IsZero() {
+		wait := q.rate.wait(now, q.ahead(demand.Rank)) + demand.Run
+		if left := demand.Deadline.Sub(now); left <= 0 || wait > left {
+			return nil, &LateError{Wait: wait, Left: left}
+		}
+	}
+	if (q.places >= q.limit || q.length >= q.limit) && !q.displace(demand.Rank) {
+		return nil, &OverflowError{q.limit}
+	}
+	if q.length == 0 {
+		q.rate.begin(now)
+	}
+	w := q.add(demand, true)
+	if demand.MaxWait > 0 {
+		w.overdueAt = now.Add(demand.MaxWait)
+		heap.Push(&q.bounded, w)
+	}
+	if demand.Seen != 0 && demand.Seen != q.unclaimed {
+		q.wake(w)
+	}
 	return w, nil
 }
 
-// Rejoin puts a woken request that found no target back in its old place. It
-// ignores the limit, because the request was admitted before.
+// Rejoin puts a woken request that found no target back in its old place, which
+// it still holds. It has no effect on a request that is waiting or displaced.
 func (q *Queue) Rejoin(w *Waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.push(w)
+	if w.list != nil || w.displaced {
+		return
+	}
+	w.woken = false
+	w.ready = make(chan struct{})
+	if w.demand.MaxWait > 0 {
+		heap.Push(&q.bounded, w)
+	}
+	q.insert(w)
+	if w.seen != q.unclaimed {
+		q.wake(w)
+	}
 }
 
-func (q *Queue) push(w *Waiter) {
-	w.ready = make(chan struct{})
+// Taken records that a request found a target after its Ready was closed, and
+// gives up its place. A request that found a target in another way calls Leave,
+// which passes on a wake-up that it may have got meanwhile.
+func (q *Queue) Taken(w *Waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	w.woken = false
-	heap.Push(&q.waiting, w)
+	q.vacate(w)
+	if w.list != nil {
+		q.remove(w)
+	}
 }
 
 // Leave removes a request that no longer waits. If it was woken and did not use
@@ -85,17 +195,30 @@
 func (q *Queue) Leave(w *Waiter) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if w.index >= 0 {
-		heap.Remove(&q.waiting, w.index)
+	q.vacate(w)
+	if w.list != nil {
+		q.remove(w)
 		return
 	}
 	if w.woken {
+		w.woken = false
 		q.wakeFirst()
 	}
 }
 
-// Wake lets the first request choose again. It is called when a permit was
-// released.
+// Released lets the first request choose again and records the release for the
+// service rate. It is called when a permit was released.
+func (q *Queue) Released(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.advance(now)
+	if q.length > 0 {
+		q.rate.record(now)
+	}
+	q.wakeFirst()
+}
+
+// Wake lets the first request choose again, like Released, without a time.
 func (q *Queue) Wake() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -106,48 +229,90 @@
 func (q *Queue) WakeAll() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for len(q.waiting) > 0 {
+	q.unclaimed++
+	for q.length > 0 {
 		q.wakeFirst()
 	}
 }
 
-func (q *Queue) wakeFirst() {
-	if len(q.waiting) == 0 {
-		return
+// advance keeps the latest time, by which waits past their bound are found.
+func (q *Queue) advance(now time.Time) {
+	if now.After(q.now) {
+		q.now = now
 	}
-	w := heap.Pop(&q.waiting).(*Waiter)
-	w.woken = true
-	close(w.ready)
 }
 
-// waiterHeap implements heap.Interface.
-type waiterHeap []*Waiter
+func (q *Queue) add(demand Demand, counted bool) *Waiter {
+	q.sequence++
+	w := &Waiter{demand: demand, sequence: q.sequence, index: -1, counted: counted, seen: q.unclaimed}
+	w.ready = make(chan struct{})
+	if counted {
+		q.places++
+	}
+	q.insert(w)
+	return w
+}
 
-func (h waiterHeap) Len() int { return len(h) }
+func (q *Queue) vacate(w *Waiter) {
+	if w.counted {
+		w.counted = false
+		q.places--
+	}
+}
 
-func (h waiterHeap) Less(i, j int) bool {
-	if h[i].rank != h[j].rank {
-		return h[i].rank < h[j].rank
+func (q *Queue) wakeFirst() {
+	first := q.first()
+	if first == nil {
+		q.unclaimed++
+		return
 	}
-	return h[i].sequence < h[j].sequence
+	q.wake(first)
+}
+
+func (q *Queue) wake(w *Waiter) {
+	q.remove(w)
+	w.woken = true
+	w.seen = q.unclaimed
+	close(w.ready)
 }
 
-func (h waiterHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
+// first returns the request that waited longest past its bound, or else the
+// first by rank and arrival.
+func (q *Queue) first() *Waiter {
+	if len(q.bounded) > 0 && !q.bounded[0].overdueAt.After(q.now) {
+		return q.bounded[0]
+	}
+	for i, word := range q.occupied {
+		if word != 0 {
+			return q.ranks[i*64+bits.TrailingZeros64(word)].front
+		}
+	}
+	return nil
 }
 
-func (h *waiterHeap) Push(x any) {
-	w := x.(*Waiter)
-	w.index = len(*h)
-	*h = append(*h, w)
+// displace makes room for a request of the given rank. Requests past their
+// bound are not displaced.
+func (q *Queue) displace(rank Rank) bool {
+	for worst := len(q.ranks) - 1; worst > int(rank); worst-- {
+		for w := q.ranks[worst].back; w != nil; w = w.prev {
+			if w.demand.Kept || (w.index >= 0 && !w.overdueAt.After(q.now)) {
+				continue
+			}
+			q.remove(w)
+			q.vacate(w)
+			w.displaced = true
+			close(w.ready)
+			return true
+		}
+	}
+	return false
 }
 
-func (h *waiterHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	last.index = -1
-	return last
+// ahead counts the waiting requests that go before a new one of the given rank.
+func (q *Queue) ahead(rank Rank) int {
+	count := 0
+	for r := range int(rank) + 1 {
+		count += q.ranks[r].length
+	}
+	return count
 }
