--- a/service/sed.go
+++ b/service/sed.go
@@ -6,8 +6,9 @@
 	"fulmarhoist.example/target"
 )
 
-// scanLimit is the number of candidates up to which all are compared. Above it
-// the scan starts at a random place and covers this many.
+// scanLimit is the number of candidates that are compared at once. With more
+// candidates, windows of this length are tried from a random start until one
+// holds a target that admits.
 const scanLimit = 32
 
 // ShortestExpectedDelay chooses the target with the least expected response
@@ -23,26 +24,34 @@
 	if count == 0 {
 		return target.Permit{}, false
 	}
-	start := int(random % uint64(count))
-	for range count {
-		best := leastDelay(now, view.Candidates, tried, start)
-		if best == nil {
-			return target.Permit{}, false
-		}
-		if permit, ok := best.Admit(now); ok {
-			return permit, true
+	for offset := 0; offset < count; offset += scanLimit {
+		window := min(scanLimit, count-offset)
+		start := int((random%uint64(count) + uint64(offset)) % uint64(count))
+		for range window {
+			best := leastDelay(now, view.Candidates, tried, span{start, window})
+			if best == nil {
+				break
+			}
+			if permit, ok := best.Admit(now); ok {
+				return permit, true
+			}
 		}
 	}
 	return target.Permit{}, false
 }
 
+// span is a part of the candidates, which wraps around at their end.
+type span struct {
+	start, length int
+}
+
 // leastDelay scans from a random start, so that instances with equal estimates
 // do not all choose the same target.
-func leastDelay(now time.Time, candidates []Candidate, tried Tried, start int) *target.Target {
+func leastDelay(now time.Time, candidates []Candidate, tried Tried, part span) *target.Target {
 	var best *target.Target
 	var bestDelay time.Duration
-	for i := range min(len(candidates), scanLimit) {
-		c := candidates[(start+i)%len(candidates)]
+	for i := range part.length {
+		c := candidates[(part.start+i)%len(candidates)]
 		if !c.Target.Admits(now) || tried.Has(c.Target) {
 			continue
 		}
