--- /dev/null
+++ b/config/order_test.go
@@ -0,0 +1,160 @@
+package config_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/config"
+)
+
+var _ = Describe("Order", func() {
+	now := time.Unix(1_000_000, 0)
+	var order *config.Order
+
+	BeforeEach(func() { order = config.NewOrder() })
+
+	publication := func(id string, base uint64, queue int) config.Publication {
+		return config.Publication{ID: id, Base: base, Config: sample(queue)}
+	}
+	state := func(version uint64, id string, offset uint64) config.State {
+		return config.State{Version: version, ID: id, Offset: offset, Config: sample(int(version))}
+	}
+	batch := func(first, from uint64, records ...config.Record) config.Batch {
+		b := config.Batch{From: from, First: first, End: from + uint64(len(records))}
+		for i, r := range records {
+			b.Entries = append(b.Entries, config.Entry{Offset: from + uint64(i), Record: r})
+		}
+		return b
+	}
+	inForce := func() uint64 {
+		s, ok := order.InForce()
+		if !ok {
+			return 0
+		}
+		return s.Version
+	}
+
+	It("lets the lower offset win, and tells the loser why and what differs", func() {
+		verdicts := order.Consume(now, batch(0, 0, publication("a", 0, 1), publication("b", 0, 2)))
+		Expect(verdicts[0].Kind).To(Equal(config.Accepted))
+		Expect(verdicts[1].Kind).To(Equal(config.Rejected))
+		Expect(verdicts[1].Reason).To(Equal(config.ReasonStaleBase))
+		Expect(verdicts[1].Changes).To(ConsistOf(HaveField("Path", "services[orders].queue_limit")))
+		Expect(inForce()).To(Equal(uint64(1)))
+	})
+
+	DescribeTable("publications that never take effect", func(p config.Publication, reason config.Reason) {
+		order.Consume(now, batch(0, 0, publication("a", 0, 1)))
+		verdicts := order.Consume(now, batch(0, 1, p))
+		Expect(verdicts[0].Kind).To(Equal(config.Rejected))
+		Expect(verdicts[0].Reason).To(Equal(reason))
+		Expect(inForce()).To(Equal(uint64(1)))
+	},
+		Entry("a delayed duplicate", publication("a", 0, 1), config.ReasonDuplicate),
+		Entry("a reused id", publication("a", 1, 2), config.ReasonDuplicate),
+		Entry("a base ahead of the order", publication("b", 5, 2), config.ReasonUnknownBase),
+		Entry("an invalid configuration", publication("b", 1, -1), config.ReasonInvalid),
+		Entry("no configuration", config.Publication{ID: "b", Base: 1}, config.ReasonInvalid),
+		Entry("no id", publication("", 1, 2), config.ReasonMalformed),
+	)
+
+	// Guards against a newcomer that routes by versions replaced long ago.
+	It("puts nothing in force before the log's end at the start is reached", func() {
+		b := batch(0, 0, publication("a", 0, 1), publication("b", 1, 2))
+		b.End = 3
+		order.Consume(now, b)
+		Expect(inForce()).To(BeZero())
+		order.Consume(now, batch(0, 2, publication("c", 2, 3)))
+		Expect(inForce()).To(Equal(uint64(3)))
+	})
+
+	// Guards against a duplicate of version 1 coming into force at a newcomer.
+	It("takes nothing from a trimmed log before a checkpoint that covers the gap", func() {
+		order.Consume(now, batch(5, 5, publication("a", 0, 1), config.Checkpoint{State: state(2, "b", 2), AsOf: 3}))
+		Expect(inForce()).To(BeZero())
+		Expect(order.Gap()).To(BeTrue())
+		order.Consume(now, batch(5, 7, config.Checkpoint{State: state(3, "c", 4), AsOf: 5, WrittenAt: now}))
+		Expect(order.Gap()).To(BeFalse())
+		Expect(order.ReadFrom()).To(Equal(uint64(6)))
+		order.Consume(now, batch(5, 6, config.Unreadable{}, config.Unreadable{}))
+		Expect(inForce()).To(Equal(uint64(3)))
+	})
+
+	// Guards against a fork: the losing publication of version 6 is repeated
+	// when a newcomer holds version 5 of a peer that was cut off.
+	It("does not judge records after a gap from a peer's stale state", func() {
+		order.Offer(now, state(5, "e", 50).Snapshot())
+		order.Consume(now, batch(100, 100, publication("loser", 5, 1)))
+		Expect(inForce()).To(Equal(uint64(5)))
+		Expect(order.Gap()).To(BeTrue())
+		Expect(order.CheckpointDue(now, time.Hour)).To(BeFalse())
+		order.Offer(now, config.Snapshot{State: state(6, "f", 70), AsOf: 99})
+		order.Consume(now, batch(100, 100, publication("loser", 5, 1)))
+		s, _ := order.InForce()
+		Expect(s.ID).To(Equal("f"))
+		Expect(order.CaughtUp()).To(BeTrue())
+	})
+
+	It("takes a peer's state during an outage of the log, and only a higher one later", func() {
+		order.Offer(now, state(3, "c", 9).Snapshot())
+		Expect(inForce()).To(BeZero())
+		order.LogFailed()
+		Expect(inForce()).To(Equal(uint64(3)))
+		Expect(order.Offer(now, state(2, "b", 5).Snapshot()).Kind).To(Equal(config.Known))
+		Expect(order.Offer(now, state(4, "d", 12).Snapshot()).Kind).To(Equal(config.Adopted))
+		Expect(order.ReadFrom()).To(Equal(uint64(13)))
+		order.Consume(now, batch(0, 10, publication("x", 4, 1), publication("y", 4, 1), publication("d", 3, 1)))
+		Expect(inForce()).To(Equal(uint64(4)))
+	})
+
+	DescribeTable("states that contradict the order", func(s config.Snapshot, kind config.VerdictKind) {
+		order.Consume(now, batch(0, 0, publication("a", 0, 1), publication("b", 1, 2), publication("c", 0, 3)))
+		Expect(order.Offer(now, s).Kind).To(Equal(kind))
+		Expect(inForce()).To(Equal(uint64(2)))
+		Expect(order.ReadFrom()).To(Equal(uint64(3)))
+	},
+		Entry("another id", state(2, "z", 1).Snapshot(), config.Diverged),
+		Entry("a version accepted where it was rejected here", state(3, "c", 2).Snapshot(), config.Diverged),
+		Entry("an older version as of a later offset", config.Snapshot{State: state(1, "a", 0), AsOf: 2}, config.Diverged),
+		Entry("a version without room in the log", state(9, "z", 4).Snapshot(), config.Skipped),
+		Entry("an invalid configuration", config.Snapshot{State: config.State{Version: 3, ID: "z", Offset: 7}, AsOf: 7}, config.Skipped),
+	)
+
+	// Guards against skipping records when a peer's state arrives during a read.
+	It("ignores a read that began after the place where reading must go on", func() {
+		order.Consume(now, batch(100, 100, config.Unreadable{}))
+		order.Offer(now, config.Snapshot{State: state(2, "b", 60), AsOf: 99})
+		Expect(order.Consume(now, batch(100, 101, publication("x", 2, 1)))).To(BeEmpty())
+		Expect(order.ReadFrom()).To(Equal(uint64(100)))
+	})
+
+	It("keeps its state when it falls behind, and resynchronizes from a checkpoint", func() {
+		order.Consume(now, batch(0, 0, publication("a", 0, 1)))
+		order.Trimmed(20)
+		Expect(order.ReadFrom()).To(Equal(uint64(20)))
+		order.Consume(now, batch(20, 20, publication("x", 1, 1), config.Checkpoint{State: state(4, "d", 19), AsOf: 19}))
+		Expect(inForce()).To(Equal(uint64(4)))
+		order.Consume(now, batch(20, 20, publication("x", 1, 1), config.Checkpoint{State: state(4, "d", 19), AsOf: 19}))
+		s, _ := order.InForce()
+		Expect(s.ID).To(Equal("d"))
+	})
+
+	It("asks for a checkpoint at a third of the retention", func() {
+		Expect(order.CheckpointDue(now, time.Hour)).To(BeFalse())
+		order.Consume(now, batch(0, 0, publication("a", 0, 1)))
+		Expect(order.CheckpointDue(now, time.Hour)).To(BeTrue())
+		c, _ := order.Checkpoint(now)
+		order.Consume(now, batch(0, 1, c))
+		Expect(order.CheckpointDue(now.Add(20*time.Minute-1), time.Hour)).To(BeFalse())
+		Expect(order.CheckpointDue(now.Add(20*time.Minute), time.Hour)).To(BeTrue())
+	})
+
+	// Guards against instances that are replaced more often than a checkpoint
+	// is due, so that none ever is.
+	It("counts the age of a checkpoint from when it was written", func() {
+		order.Consume(now, batch(0, 0, publication("a", 0, 1), config.Checkpoint{AsOf: 0, State: state(1, "a", 0), WrittenAt: now.Add(-time.Hour)}))
+		Expect(order.CheckpointDue(now, time.Hour)).To(BeTrue())
+	})
+})
