--- a/config/order_property_test.go
+++ b/config/order_property_test.go
@@ -58,7 +58,7 @@
 		from = w.readers[i].order.ReadFrom()
 	}
 	b := config.Batch{From: from, First: w.first, End: uint64(len(w.records))}
-	for o := from; o < b.End && len(b.Entries) < limit; o++ {
+	for o := max(from, w.first); o < b.End && len(b.Entries) < limit; o++ {
 		b.Entries = append(b.Entries, config.Entry{Offset: o, Record: w.records[o]})
 	}
 	return b
