--- /dev/null
+++ b/configlog/follower.go
@@ -0,0 +1,73 @@
+package configlog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"fulmarhoist.example/config"
+	"fulmarhoist.example/platform"
+)
+
+// pageLimit bounds the records of one read and thereby its memory.
+const pageLimit = 16
+
+// LogResetError reports a log that ends before a record that was already read:
+// it lost records or was replaced. The configuration in force is kept.
+type LogResetError struct{ Read, End uint64 }
+
+func (e *LogResetError) Error() string {
+	return fmt.Sprintf("the configuration stream ends at offset %d, but offset %d was read before", e.End, e.Read)
+}
+
+// readResult is the result of one read, with the records decoded.
+type readResult struct {
+	batch config.Batch
+	err   error
+}
+
+// read reads and decodes records from an offset on.
+func read(ctx context.Context, log platform.Log, from uint64, timeout time.Duration) readResult {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	page, err := log.Read(ctx, platform.ConfigStream, from, pageLimit)
+	if err != nil {
+		return readResult{err: fmt.Errorf("reading the configuration stream from offset %d: %w", from, err)}
+	}
+	if page.Next < from {
+		return readResult{err: fmt.Errorf("reading the configuration stream: %w", &LogResetError{Read: from - 1, End: page.Next})}
+	}
+	b := config.Batch{From: from, First: page.First, End: page.Next, Entries: make([]config.Entry, 0, len(page.Records))}
+	for _, r := range page.Records {
+		b.Entries = append(b.Entries, config.Entry{Offset: r.Offset, Record: Decode(r.Data)})
+	}
+	return readResult{batch: b}
+}
+
+// feed gives the result of a read to the order. It returns whether more records
+// are known to exist.
+func feed(order *config.Order, now time.Time, res readResult) (verdicts []config.Verdict, more bool, err error) {
+	var trimmed *platform.TrimmedError
+	if errors.As(res.err, &trimmed) && trimmed.First > order.ReadFrom() {
+		order.Trimmed(trimmed.First)
+		return nil, true, nil
+	}
+	if res.err != nil {
+		order.LogFailed()
+		return nil, false, res.err
+	}
+	verdicts = order.Consume(now, res.batch)
+	return verdicts, len(res.batch.Entries) > 0 && order.ReadFrom() < res.batch.End, nil
+}
+
+// backoff returns the wait after a number of failures in a row: it doubles from
+// the poll interval up to the limit, and is shortened at random by up to half so
+// that instances do not return to the log service at the same time.
+func backoff(base, limit time.Duration, failures int, random float64) time.Duration {
+	wait := limit
+	if failures < 16 {
+		wait = min(limit, base<<failures)
+	}
+	return wait - time.Duration(random*float64(wait)/2)
+}
