Add fulmarhoistctl send and status

Operators and callers had no way to send one request or to see which instances serve.

send prints outcome, status, attempts and body; status asks every instance of the directory for its health. Both print tables or JSON and end with the documented exit codes. The caller's library gains OutcomeOf and TrailOf, which name how a call ended.

--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -65,6 +65,10 @@
 		var refusal *caller.Refusal
 		Expect(errors.As(err, &refusal)).To(BeTrue())
 		Expect(refusal.Outcome).To(Equal(name))
+		Expect(caller.OutcomeOf(err)).To(Equal(name))
+		trail, found := caller.TrailOf(err)
+		Expect(found).To(BeTrue())
+		Expect(trail.Sends).To(Equal(1))
 		Expect(c.seen()).To(HaveLen(1))
 	},
 		Entry("too-old", "too-old", 409, func(err error) bool { _, ok := errors.AsType[*caller.TooOldError](err); return ok }),
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -178,3 +179,51 @@
 type AttemptLimitError struct{ Limit time.Duration }
 
 func (e *AttemptLimitError) Error() string { return fmt.Sprintf("no whole answer within %v", e.Limit) }
+
+// trail lets TrailOf find the trail in any of the error types that embed it.
+func (t *Trail) trail() *Trail { return t }
+
+// TrailOf returns what the call of a failed Do did, if the error says so.
+func TrailOf(err error) (Trail, bool) {
+	var failure interface {
+		error
+		trail() *Trail
+	}
+	if !errors.As(err, &failure) {
+		return Trail{}, false
+	}
+	return *failure.trail(), true
+}
+
+// OutcomeOf names how a Do ended, for reports and metrics: an outcome of the
+// protocol; "unreachable" if nothing was sent; "answer-too-large";
+// "bad-request" for a request that Do cannot send; "failed" for other errors.
+func OutcomeOf(err error) string {
+	switch {
+	case err == nil:
+		return "answered"
+	case isA[*NotRunError](err):
+		return "not-run"
+	case isA[*UnknownError](err):
+		return "unknown"
+	case isA[*TooOldError](err):
+		return "too-old"
+	case isA[*CrashesTargetsError](err):
+		return "crashes-targets"
+	case isA[*InvalidError](err):
+		return "invalid"
+	case isA[*UnreachableError](err), isA[*DirectoryError](err):
+		return "unreachable"
+	case isA[*AnswerTooLargeError](err):
+		return "answer-too-large"
+	case isA[*RequestError](err):
+		return "bad-request"
+	default:
+		return "failed"
+	}
+}
+
+func isA[E error](err error) bool {
+	_, ok := errors.AsType[E](err)
+	return ok
+}
--- /dev/null
+++ b/internal/ctl/root.go
@@ -0,0 +1,75 @@
+// Package ctl holds the commands of fulmarhoistctl, one file per command.
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Streams are the standard streams of the process.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+const rootHelp = `fulmarhoistctl sends requests through fulmarhoist and shows its state.
+
+Exit codes:
+  0  the command ran and the result is good
+  1  the command ran and the result is bad
+  2  usage or settings are wrong
+  3  no instance could be reached`
+
+// app is one run of the tool.
+type app struct {
+	streams Streams
+	output  outputFormat
+	// started is set when the run function of a command begins; an error before
+	// that is one of usage.
+	started bool
+}
+
+// Run runs the tool with the given arguments and returns its exit code.
+func Run(ctx context.Context, arguments []string, streams Streams) ExitCode {
+	a := &app{streams: streams, output: outputTable}
+	root := a.root()
+	root.SetArgs(arguments)
+	err := root.ExecuteContext(ctx)
+	if err != nil && !a.started {
+		err = &UsageError{Err: err}
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(streams.Err, "fulmarhoistctl: %v\n", err)
+	}
+	return exitCode(err)
+}
+
+func (a *app) root() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "fulmarhoistctl",
+		Short:         "Tool for operators and callers of fulmarhoist",
+		Long:          rootHelp,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.SetIn(a.streams.In)
+	root.SetOut(a.streams.Out)
+	root.SetErr(a.streams.Err)
+	root.PersistentFlags().Var(&a.output, "output", "output format: table or json")
+	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(
+		[]string{string(outputTable), string(outputJSON)}, cobra.ShellCompDirectiveNoFileComp))
+	root.AddCommand(a.sendCommand(), a.statusCommand())
+	return root
+}
+
+// running marks the end of the checks of usage before a command runs.
+func (a *app) running(run func(ctx context.Context) error) func(*cobra.Command, []string) error {
+	return func(command *cobra.Command, _ []string) error {
+		a.started = true
+		return run(command.Context())
+	}
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,167 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"fulmarhoist.example/caller"
+)
+
+const statusHelp = `Ask every instance of the directory for its health.
+
+The exit code is 0 if all listed instances are serving, 1 if one is not, and 3 if
+no instance answers.`
+
+// healthDetailBytes bounds the part of a health answer that is shown.
+const healthDetailBytes = 200
+
+// status holds the flags of the command status.
+type status struct {
+	app        *app
+	connection connection
+	timeout    time.Duration
+}
+
+func (a *app) statusCommand() *cobra.Command {
+	s := &status{app: a}
+	command := &cobra.Command{
+		Use:   "status --instance HOST:PORT",
+		Short: "Show the health of all instances",
+		Long:  statusHelp,
+		Args:  cobra.NoArgs,
+		RunE:  a.running(s.run),
+	}
+	s.connection.register(command.Flags())
+	command.Flags().DurationVar(&s.timeout, "timeout", 2*time.Second, "time for each instance to answer")
+	return command
+}
+
+// States of an instance as status shows them.
+const (
+	stateServing     = "serving"
+	stateNotServing  = "not-serving"
+	stateUnreachable = "unreachable"
+)
+
+// instanceHealth is one row of the result.
+type instanceHealth struct {
+	ID        string  `json:"id"`
+	Zone      string  `json:"zone"`
+	Address   string  `json:"address"`
+	State     string  `json:"state"`
+	Status    int     `json:"status,omitempty"`
+	LatencyMS float64 `json:"latency_ms"`
+	Detail    string  `json:"detail,omitempty"`
+}
+
+// statusResult is the result of status as JSON.
+type statusResult struct {
+	DirectoryVersion uint64           `json:"directory_version"`
+	Instances        []instanceHealth `json:"instances"`
+}
+
+func (s *status) run(ctx context.Context) error {
+	if s.timeout <= 0 {
+		return &FlagError{"--timeout", "must be above 0"}
+	}
+	client, err := s.connection.client(0)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	directory, err := client.Directory(ctx)
+	if err != nil {
+		return err
+	}
+	result := &statusResult{DirectoryVersion: directory.Version, Instances: s.askAll(ctx, directory.Instances)}
+	if err := s.print(result); err != nil {
+		return err
+	}
+	return result.judge()
+}
+
+func (s *status) askAll(ctx context.Context, instances []*caller.Instance) []instanceHealth {
+	rows := make([]instanceHealth, len(instances))
+	var group sync.WaitGroup
+	for n, instance := range instances {
+		group.Go(func() { rows[n] = s.ask(ctx, instance) })
+	}
+	group.Wait()
+	return rows
+}
+
+func (s *status) ask(ctx context.Context, instance *caller.Instance) instanceHealth {
+	row := instanceHealth{ID: instance.ID, Zone: instance.Zone, Address: instance.Address, State: stateUnreachable}
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	began := time.Now()
+	code, detail, err := getHealth(ctx, instance.Address)
+	row.LatencyMS = float64(time.Since(began).Microseconds()) / 1000
+	if err != nil {
+		row.Detail = err.Error()
+		return row
+	}
+	row.Status, row.Detail, row.State = code, detail, stateNotServing
+	if code == http.StatusOK {
+		row.State = stateServing
+	}
+	return row
+}
+
+func getHealth(ctx context.Context, address string) (code int, detail string, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/fulmarhoist/v1/health", nil)
+	if err != nil {
+		return 0, "", fmt.Errorf("building the health request: %w", err)
+	}
+	// A connection of its own shows that the instance accepts new ones.
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, healthDetailBytes))
+	if err != nil {
+		return 0, "", err
+	}
+	return response.StatusCode, strings.Join(strings.Fields(string(body)), " "), nil
+}
+
+func (s *status) print(result *statusResult) error {
+	if s.app.output == outputJSON {
+		return printJSON(s.app.streams.Out, result)
+	}
+	rows := [][]string{{"INSTANCE", "ZONE", "ADDRESS", "STATE", "TIME", "DETAIL"}}
+	for _, i := range result.Instances {
+		rows = append(rows, []string{i.ID, i.Zone, i.Address, i.State, fmt.Sprintf("%.3f ms", i.LatencyMS), i.Detail})
+	}
+	return printTable(s.app.streams.Out, rows)
+}
+
+// judge returns nil if all instances are serving.
+func (r *statusResult) judge() error {
+	bad, reached := 0, 0
+	for _, i := range r.Instances {
+		if i.State != stateServing {
+			bad++
+		}
+		if i.State != stateUnreachable {
+			reached++
+		}
+	}
+	switch {
+	case bad == 0:
+		return nil
+	case reached == 0:
+		return &NoInstanceError{"none of the listed instances answers"}
+	default:
+		return &ResultError{fmt.Sprintf("%d of %d instances are not serving", bad, len(r.Instances))}
+	}
+}
