Use the deadline-aware queue and the retry budget on the request path

Change: exchange uses the new queue calls, spends the retry budget; Stop settles by its own failure.

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -222,10 +222,14 @@
 // Stop records the end of an attempt after which the request cannot be sent
 // again, because its body was not kept, and settles the contract.
 func (c *Contract) Stop(failure Failure) *Refusal {
+	if c.phase.Load() != phaseSending {
+		return c.Refuse(ReasonAnswerLost)
+	}
 	c.mayHaveRun = c.mayHaveRun || failure.mayHaveRun()
 	reason := ReasonAnswerLost
 	if failure == FailureDeclined {
 		reason = ReasonDeclined
 	}
-	return c.Refuse(reason)
+	c.settle(reason)
+	return c.refusal()
 }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -57,7 +57,7 @@
 	Instance string
 	Contract *contract.Contract
 	Service  *service.Service
-	Rank     service.Rank
+	Demand   service.Demand // rank and bounds; deadline and mark are set here
 	Links    *Links
 	Tracer   trace.Tracer
 	Observer Observer
@@ -74,6 +74,7 @@
 		cancel()
 		return nil, x.Contract.Refuse(bodyReason(err))
 	}
+	x.Service.Retries.Request(time.Now())
 	for {
 		permit, refusal := x.admit(ctx)
 		if refusal != nil {
@@ -114,12 +115,13 @@
 
 // admit returns a permit, waiting in the queue if no target has room.
 func (x *Exchange) admit(ctx context.Context) (target.Permit, *contract.Refusal) {
+	seen := x.Service.Queue.Seen()
 	if x.Service.Queue.Len() == 0 {
 		if permit, ok := x.choose(); ok {
 			return permit, nil
 		}
 	}
-	return x.wait(ctx)
+	return x.wait(ctx, seen)
 }
 
 // choose prefers targets that this request has not failed on.
@@ -134,33 +136,44 @@
 	return x.Service.Choose(now, nil, rand.Uint64())
 }
 
-func (x *Exchange) wait(ctx context.Context) (target.Permit, *contract.Refusal) {
+func (x *Exchange) wait(ctx context.Context, seen uint64) (target.Permit, *contract.Refusal) {
 	_, span := x.Tracer.Start(ctx, "queue")
 	defer span.End()
-	x.Service.Waited(time.Now())
-	waiter, err := x.Service.Queue.Join(x.Rank, x.Contract.Terms.Deadline)
+	now := time.Now()
+	queue := x.Service.Queue
+	x.Service.Waited(now)
+	demand := x.Demand
+	demand.Deadline, demand.Seen = x.Contract.Terms.Deadline, seen
+	waiter, err := queue.JoinAt(now, demand)
 	if err != nil {
-		return target.Permit{}, x.Contract.Refuse(contract.ReasonQueueFull)
-	}
-	// A permit may have been released between the choice and Join.
-	if permit, ok := x.choose(); ok {
-		x.Service.Queue.Leave(waiter)
-		return permit, nil
+		return target.Permit{}, x.Contract.Refuse(queueReason(err))
 	}
 	for {
 		select {
 		case <-waiter.Ready():
+			if waiter.Displaced() {
+				return target.Permit{}, x.Contract.Refuse(contract.ReasonQueueFull)
+			}
 			if permit, ok := x.choose(); ok {
+				queue.Taken(waiter)
 				return permit, nil
 			}
-			x.Service.Queue.Rejoin(waiter)
+			queue.Rejoin(waiter)
 		case <-ctx.Done():
-			x.Service.Queue.Leave(waiter)
+			queue.Leave(waiter)
 			return target.Permit{}, x.Contract.Refuse(contextReason(ctx))
 		}
 	}
 }
 
+func queueReason(err error) contract.Reason {
+	var late *service.LateError
+	if errors.As(err, &late) {
+		return contract.ReasonDeadline
+	}
+	return contract.ReasonQueueFull
+}
+
 func contextReason(ctx context.Context) contract.Reason {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return contract.ReasonDeadline
@@ -202,7 +215,11 @@
 	if !content.replayable() {
 		return nil, x.Contract.Stop(failure), false
 	}
-	refusal = x.Contract.FailAttempt(time.Now(), failure)
+	now := time.Now()
+	refusal = x.Contract.FailAttempt(now, failure)
+	if refusal == nil && failure != contract.FailureNotSent && !x.Service.Retries.Retry(now) {
+		refusal = x.Contract.Refuse(contract.ReasonRetriesSpent)
+	}
 	return nil, refusal, refusal == nil
 }
 
@@ -231,7 +248,7 @@
 
 func (x *Exchange) release(permit target.Permit) {
 	permit.Release()
-	x.Service.Queue.Wake()
+	x.Service.Queue.Released(time.Now())
 }
 
 // outgoing makes the request of one attempt.
--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -147,7 +147,7 @@
 		Instance: f.Instance,
 		Contract: contract.New(a.terms),
 		Service:  a.service,
-		Rank:     rankOf(a.class.Priority),
+		Demand:   demandOf(a.class),
 		Links:    f.Links,
 		Tracer:   f.Tracer,
 		Observer: f.Metrics,
--- a/httpapi/terms.go
+++ b/httpapi/terms.go
@@ -28,9 +28,10 @@
 	headerPrefix   = "Fulmarhoist-"
 )
 
-// defaultRetries is the allowance of a request that names none. Two let a
-// request survive one target that dies and one that sheds.
-const defaultRetries = 2
+// defaultRetries is the allowance of a request that names none. Half of it is
+// kept at this level, so that a request survives one target that dies and one
+// that sheds; the other half travels with the call.
+const defaultRetries = 4
 
 // maxRetries bounds the allowance that a caller may name.
 const maxRetries = 10
@@ -161,13 +162,16 @@
 	return passed
 }
 
-func rankOf(p config.Priority) service.Rank {
-	switch p {
+// demandOf orders waiting requests: interactive ones go first, uploads are kept
+// once they wait, and requests that may wait go first after half of their
+// deadline, so that they still arrive.
+func demandOf(class *config.Class) service.Demand {
+	switch class.Priority {
 	case config.PriorityInteractive:
-		return 0
+		return service.Demand{Rank: 0}
 	case config.PriorityUpload:
-		return 1
+		return service.Demand{Rank: 1, Kept: true}
 	default:
-		return 2
+		return service.Demand{Rank: 2, MaxWait: class.Deadline() / 2}
 	}
 }
--- a/service/catalog.go
+++ b/service/catalog.go
@@ -104,8 +104,8 @@
 	for i := range state.Config.Services {
 		spec := &state.Config.Services[i]
 		s, known := old.services[spec.Name]
-		if !known || s.Queue.limit != spec.QueueLimit {
-			s = New(spec.Name, spec.QueueLimit, c.policy)
+		if !known || s.Queue.limit != spec.QueueLimit || s.Retries.percent != uint64(spec.RetryPercent) {
+			s = New(spec.Name, spec.QueueLimit, spec.RetryPercent, c.policy)
 		}
 		next.services[spec.Name] = s
 		s.Replace(NewView(state.Version, c.zones(old, next, spec)))
--- a/service/service.go
+++ b/service/service.go
@@ -60,8 +60,9 @@
 
 // Service is one service as one entry instance sees it.
 type Service struct {
-	Name  string
-	Queue *Queue
+	Name    string
+	Queue   *Queue
+	Retries *RetryBudget
 
 	view     atomic.Pointer[View]
 	policy   Policy
@@ -84,8 +85,8 @@
 func (s *Service) Ready() { s.Queue.WakeAll() }
 
 // New returns a service without targets.
-func New(name string, queueLimit int, policy Policy) *Service {
-	s := &Service{Name: name, Queue: NewQueue(queueLimit), policy: policy}
+func New(name string, queueLimit, retryPercent int, policy Policy) *Service {
+	s := &Service{Name: name, Queue: NewQueue(queueLimit), Retries: NewRetryBudget(retryPercent), policy: policy}
 	s.view.Store(&View{})
 	return s
 }
