settings: read a process's static settings and report all mistakes

Cause: a process learns its addresses, zone and platform from a file, and encoding/json stops at the first mistake. Change: strictjson decodes with unknown, repeated, mistyped and missing fields reported together; Settings adds impossible values; secrets are not printed.

--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,262 @@
+// Package settings holds the static settings of a process, read from a JSON
+// file at its start. What operators change while it runs is in package config.
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"strings"
+
+	"fulmarhoist.example/config"
+	"fulmarhoist.example/settings/strictjson"
+)
+
+// Settings are the static settings of an entry instance. Every field is
+// required unless its description says that it is optional.
+type Settings struct {
+	// Instance is the id of this instance, unique among all that run at the
+	// same time.
+	Instance string `json:"instance"`
+	// Zone is the availability zone that this instance runs in.
+	Zone string `json:"zone"`
+	// Callers is where callers connect.
+	Callers Endpoint `json:"callers"`
+	// Peers is where other entry instances connect.
+	Peers Endpoint `json:"peers"`
+	// LogServiceURL is the base URL of the platform's log service, with http
+	// or https.
+	LogServiceURL string `json:"log_service_url"`
+	// LogRetentionMs is how long the log service keeps records, in
+	// milliseconds. Optional; 3600000 (one hour) if left out. A value below
+	// the real one is safe and costs more checkpoints.
+	LogRetentionMs int `json:"log_retention_ms,omitempty"`
+	// InstanceListURL is the base URL of the platform's instance list, with
+	// http or https.
+	InstanceListURL string `json:"instance_list_url"`
+	// SharedKey is the secret by which instances and operators recognize each
+	// other.
+	SharedKey SharedKey `json:"shared_key"`
+	// Traces tells where spans go.
+	Traces Traces `json:"traces"`
+	// LogLevel is the least level of log lines that are written: debug, info,
+	// warn or error.
+	LogLevel string `json:"log_level"`
+	// Seeds are peer addresses to try while the instance list does not answer.
+	// Optional.
+	Seeds []string `json:"seeds,omitempty"`
+}
+
+// Endpoint is an address to listen on and the address that others use for it.
+type Endpoint struct {
+	// Listen is the host:port to listen on, for example 0.0.0.0:8001.
+	Listen string `json:"listen"`
+	// Advertise is the host:port that is handed out to others, for example
+	// 127.0.0.1:8001. Its host cannot be 0.0.0.0 or [::].
+	Advertise string `json:"advertise"`
+}
+
+// SharedKey is given by exactly one of file and value.
+type SharedKey struct {
+	// File is the path of a file that holds the key. A line end after the key
+	// is not part of it. Optional.
+	File string `json:"file,omitempty"`
+	// Value is the key itself, at least 16 bytes. Optional.
+	Value Secret `json:"value,omitempty"`
+}
+
+// Traces tells where spans go.
+type Traces struct {
+	// Exporter is otlp, file or off.
+	Exporter string `json:"exporter"`
+	// URL is where the exporter otlp sends spans to, with http or https.
+	// Required for otlp, and not allowed otherwise.
+	URL string `json:"url,omitempty"`
+	// File is the path that the exporter file appends spans to. Required for
+	// file, and not allowed otherwise.
+	File string `json:"file,omitempty"`
+}
+
+// Secret is text that is never printed.
+type Secret string
+
+const redacted = "[redacted]"
+
+// String hides the secret.
+func (Secret) String() string { return redacted }
+
+// GoString hides the secret.
+func (Secret) GoString() string { return redacted }
+
+// MarshalText hides the secret.
+func (Secret) MarshalText() ([]byte, error) { return []byte(redacted), nil }
+
+const (
+	minKeyBytes        = 16
+	maxKeyBytes        = 4096
+	defaultRetentionMs = 60 * 60 * 1000
+	minRetentionMs     = 60 * 1000
+	maxRetentionMs     = 366 * 24 * 60 * 60 * 1000
+	maxSeeds           = 256
+	maxPath            = 4096
+)
+
+// InvalidError lists all mistakes of a settings file. A process that gets it
+// exits with code 2.
+type InvalidError = config.InvalidError
+
+// FileError reports a file that could not be read.
+type FileError struct {
+	What, Path string
+	Err        error
+}
+
+func (e *FileError) Error() string {
+	return fmt.Sprintf("reading the %s %s: %v", e.What, e.Path, e.Err)
+}
+
+func (e *FileError) Unwrap() error { return e.Err }
+
+// KeyError reports a shared key file whose content cannot be used.
+type KeyError struct {
+	Path string
+	Size int
+}
+
+func (e *KeyError) Error() string {
+	return fmt.Sprintf("the shared key file %s holds %d bytes; use %d to %d", e.Path, e.Size, minKeyBytes, maxKeyBytes)
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := readLimited(path, strictjson.MaxBytes)
+	if err != nil {
+		return nil, &FileError{What: "settings file", Path: path, Err: err}
+	}
+	return Parse(data)
+}
+
+// Parse checks the content of a settings file. The error is an *InvalidError.
+func Parse(data []byte) (*Settings, error) {
+	s := &Settings{LogRetentionMs: defaultRetentionMs}
+	if problems := strictjson.Decode(data, s); len(problems) > 0 {
+		return nil, &InvalidError{What: "the settings file", Problems: problems}
+	}
+	return s, nil
+}
+
+// Key returns the shared key, from its file if one is named.
+func (s *Settings) Key() ([]byte, error) {
+	if s.SharedKey.File == "" {
+		return []byte(string(s.SharedKey.Value)), nil
+	}
+	data, err := readLimited(s.SharedKey.File, maxKeyBytes+2)
+	if err != nil {
+		return nil, &FileError{What: "shared key file", Path: s.SharedKey.File, Err: err}
+	}
+	key := bytes.TrimRight(data, "\r\n")
+	if len(key) < minKeyBytes || len(key) > maxKeyBytes {
+		return nil, &KeyError{Path: s.SharedKey.File, Size: len(key)}
+	}
+	return key, nil
+}
+
+// readLimited reads one byte more than the limit at most, so that the caller
+// notices a file that is too large.
+func readLimited(path string, limit int64) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close() //nolint:errcheck // a file that was only read
+	return io.ReadAll(io.LimitReader(file, limit+1))
+}
+
+// Validate returns all impossible values.
+func (s *Settings) Validate() []config.Problem {
+	var ps config.Problems
+	ps.Name("instance", s.Instance)
+	ps.Name("zone", s.Zone)
+	s.Callers.validate(&ps, "callers")
+	s.Peers.validate(&ps, "peers")
+	if s.Callers.Listen == s.Peers.Listen {
+		ps.Add("peers.listen", "it is the same address as callers.listen", "use a different port")
+	}
+	if s.Callers.Advertise == s.Peers.Advertise {
+		ps.Add("peers.advertise", "it is the same address as callers.advertise", "use a different port")
+	}
+	checkURL(&ps, "log_service_url", s.LogServiceURL)
+	ps.Int("log_retention_ms", int64(s.LogRetentionMs), config.Range{Min: minRetentionMs, Max: maxRetentionMs})
+	checkURL(&ps, "instance_list_url", s.InstanceListURL)
+	s.SharedKey.validate(&ps)
+	s.Traces.validate(&ps)
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		ps.Add("log_level", fmt.Sprintf("%q is not a level", config.Shorten(s.LogLevel)), "use debug, info, warn or error")
+	}
+	if len(s.Seeds) > maxSeeds {
+		ps.Add("seeds", fmt.Sprintf("the list has %d entries", len(s.Seeds)), fmt.Sprintf("list at most %d", maxSeeds))
+	}
+	for i, seed := range s.Seeds {
+		ps.Address(fmt.Sprintf("seeds[%d]", i), seed)
+	}
+	return ps
+}
+
+func (e Endpoint) validate(ps *config.Problems, path string) {
+	ps.Address(path+".listen", e.Listen)
+	ps.Address(path+".advertise", e.Advertise)
+	for _, wildcard := range []string{"0.0.0.0:", "[::]:"} {
+		if len(e.Advertise) >= len(wildcard) && e.Advertise[:len(wildcard)] == wildcard {
+			ps.Add(path+".advertise", fmt.Sprintf("nobody can connect to %q", e.Advertise), "use the address that others reach")
+		}
+	}
+}
+
+func (k SharedKey) validate(ps *config.Problems) {
+	switch {
+	case k.File == "" && k.Value == "":
+		ps.Add("shared_key", "there is neither a file nor a value", "give one of them")
+	case k.File != "" && k.Value != "":
+		ps.Add("shared_key", "there are both a file and a value", "give only one of them")
+	case k.File != "":
+		ps.Text("shared_key.file", k.File, maxPath)
+	case len(k.Value) < minKeyBytes || len(k.Value) > maxKeyBytes:
+		ps.Add("shared_key.value", fmt.Sprintf("the key has %d bytes", len(k.Value)),
+			fmt.Sprintf("use %d to %d random bytes", minKeyBytes, maxKeyBytes))
+	}
+}
+
+func (t Traces) validate(ps *config.Problems) {
+	switch t.Exporter {
+	case "otlp":
+		checkURL(ps, "traces.url", t.URL)
+	case "file":
+		ps.Text("traces.file", t.File, maxPath)
+	case "off":
+	default:
+		ps.Add("traces.exporter", fmt.Sprintf("%q is not an exporter", config.Shorten(t.Exporter)), "use otlp, file or off")
+		return
+	}
+	if t.URL != "" && t.Exporter != "otlp" {
+		ps.Add("traces.url", "it has no effect with the exporter "+t.Exporter, "remove it or use the exporter otlp")
+	}
+	if t.File != "" && t.Exporter != "file" {
+		ps.Add("traces.file", "it has no effect with the exporter "+t.Exporter, "remove it or use the exporter file")
+	}
+}
+
+func checkURL(ps *config.Problems, path, value string) {
+	u, err := url.Parse(value)
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Hostname() == "" ||
+		u.User != nil || u.RawQuery != "" || u.Fragment != "" {
+		if strings.Contains(value, "@") {
+			value = redacted // it may hold a password
+		}
+		ps.Add(path, fmt.Sprintf("%q is not a base URL", config.Shorten(value)),
+			"use http or https with a host and without user, query and fragment, for example http://127.0.0.1:7000")
+	}
+}
