Serve a request end to end through separate processes

Cause: the parts of the path are not wired. Change: daemon (dig), fulmarhoistd, fleet of stand-in processes, end-to-end spec.

--- /dev/null
+++ b/daemon/applier.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"fulmarhoist.example/config"
+	"fulmarhoist.example/exchange"
+	"fulmarhoist.example/service"
+)
+
+// applier is the one writer of the catalog and of the set of links. Others hand
+// changes to it over channels.
+type applier struct {
+	catalog *service.Catalog
+	links   *exchange.Links
+	logger  zerolog.Logger
+	states  chan config.State
+	leaving chan map[string]bool
+	stopped chan struct{}
+}
+
+func newApplier(catalog *service.Catalog, links *exchange.Links, logger zerolog.Logger) *applier {
+	return &applier{
+		catalog: catalog,
+		links:   links,
+		logger:  logger,
+		states:  make(chan config.State),
+		leaving: make(chan map[string]bool),
+		stopped: make(chan struct{}),
+	}
+}
+
+// run applies changes until the context ends.
+func (a *applier) run(ctx context.Context) {
+	defer close(a.stopped)
+	for {
+		changed := false
+		select {
+		case <-ctx.Done():
+			return
+		case state := <-a.states:
+			changed = a.catalog.Apply(state)
+			if changed {
+				a.logger.Info().Str("event", "config_in_force").Uint64("version", state.Version).Msg("configuration in force")
+			}
+		case names := <-a.leaving:
+			changed = a.catalog.SetLeaving(names)
+			if changed {
+				a.logger.Info().Str("event", "targets_leaving").Int("count", len(names)).Msg("targets leaving changed")
+			}
+		}
+		if changed {
+			a.links.Follow(a.catalog.Snapshot())
+		}
+	}
+}
+
+// offerState hands over a configuration that is in force.
+func (a *applier) offerState(state config.State) {
+	select {
+	case a.states <- state:
+	case <-a.stopped:
+	}
+}
+
+// offerLeaving hands over the names of the targets that are leaving.
+func (a *applier) offerLeaving(names map[string]bool) {
+	select {
+	case a.leaving <- names:
+	case <-a.stopped:
+	}
+}
--- /dev/null
+++ b/daemon/standing.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"fulmarhoist.example/instance"
+	"fulmarhoist.example/service"
+)
+
+// standing implements httpapi.Standing.
+type standing struct {
+	isolation *instance.Isolation
+	leaving   atomic.Bool
+}
+
+func (s *standing) Isolated() bool { return s.isolation.Isolated(time.Now()) }
+
+func (s *standing) Leaving() bool { return s.leaving.Load() }
+
+// directory implements httpapi.Directory.
+type directory struct {
+	roster  *instance.Roster
+	catalog *service.Catalog
+}
+
+// defaultLifetime is the lifetime of a directory response before the first
+// configuration.
+const defaultLifetime = 30 * time.Second
+
+// DirectoryBody is the JSON body of a directory response.
+type DirectoryBody struct {
+	Version    uint64              `json:"version"`
+	LifetimeMs int64               `json:"lifetime_ms"`
+	Instances  []DirectoryInstance `json:"instances"`
+}
+
+// DirectoryInstance is one instance in a directory response.
+type DirectoryInstance struct {
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	Ticket  string `json:"ticket"`
+}
+
+func (d *directory) lifetime() time.Duration {
+	configuration := d.catalog.Snapshot().State.Config
+	if configuration == nil {
+		return defaultLifetime
+	}
+	return time.Duration(configuration.DirectoryLifetimeMs) * time.Millisecond
+}
+
+func (d *directory) Directory(_ time.Time, zone string) any {
+	response := instance.Directory{Roster: d.roster}.Respond(zone, d.lifetime(), rand.Uint64())
+	body := DirectoryBody{Version: response.Version, LifetimeMs: response.Lifetime.Milliseconds()}
+	for _, i := range response.Instances {
+		body.Instances = append(body.Instances, DirectoryInstance{ID: i.ID, Zone: i.Zone, Address: i.Address, Ticket: i.Ticket.String()})
+	}
+	return body
+}
--- /dev/null
+++ b/daemon/wiring.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/dig"
+
+	"fulmarhoist.example/coldstart"
+	"fulmarhoist.example/config"
+	"fulmarhoist.example/configlog"
+	"fulmarhoist.example/contract"
+	"fulmarhoist.example/exchange"
+	"fulmarhoist.example/httpapi"
+	"fulmarhoist.example/instance"
+	"fulmarhoist.example/lease"
+	"fulmarhoist.example/platform"
+	"fulmarhoist.example/platformhttp"
+	"fulmarhoist.example/service"
+	"fulmarhoist.example/settings"
+	"fulmarhoist.example/target"
+	"fulmarhoist.example/telemetry"
+)
+
+// constructors lists what dig makes the daemon from. Parts that need each other
+// in a circle are joined in newCluster and newLinks.
+func constructors(s *settings.Settings, logs io.Writer) []any {
+	started := time.Now()
+	return []any{
+		func() *settings.Settings { return s },
+		func() (zerolog.Logger, error) { return telemetry.NewLogger(logs, s.LogLevel, s.Instance) },
+		func() (*telemetry.Tracing, error) {
+			return telemetry.NewTracing(context.Background(), s.Instance, s.Traces.URL, s.Traces.File)
+		},
+		func() (platform.Log, error) {
+			return platformhttp.NewLogClient(s.LogServiceURL, platformhttp.Settings{})
+		},
+		func() (platform.InstanceList, error) {
+			return platformhttp.NewListClient(s.InstanceListURL, platformhttp.Settings{})
+		},
+		func() (lease.Holder, error) {
+			number, err := newIncarnation()
+			return lease.Holder{Instance: s.Instance, Incarnation: number}, err
+		},
+		func(self lease.Holder) *contract.Ledger {
+			return contract.NewLedger(self.Instance, self.Incarnation, started)
+		},
+		func(self lease.Holder) *instance.Roster {
+			return instance.NewRoster(started, instance.Instance{
+				ID: self.Instance, Incarnation: self.Incarnation, Zone: s.Zone,
+				CallerAddress: s.Callers.Advertise, PeerAddress: s.Peers.Advertise,
+			})
+		},
+		func() *service.Catalog { return service.NewCatalog(s.Zone, service.ShortestExpectedDelay{}) },
+		func() *standing { return &standing{isolation: instance.NewIsolation(started)} },
+		telemetry.NewMetrics,
+		func(c *service.Catalog) *knownTargets { return &knownTargets{catalog: c} },
+		func(r *instance.Roster, c *service.Catalog) *directory { return &directory{roster: r, catalog: c} },
+		func(d *directory) *drain { return &drain{lifetime: d.lifetime} },
+		newMail, newApplier, newLinks, newReader, newCluster, newFront, newDaemon,
+	}
+}
+
+func newReader(log platform.Log, s *settings.Settings, logger zerolog.Logger, applier *applier) *configlog.Reader {
+	return configlog.NewReader(log, configlog.Options{
+		Retention: time.Duration(s.LogRetentionMs) * time.Millisecond,
+		OnState:   applier.offerState,
+		OnVerdict: func(v config.Verdict) {
+			if v.Kind == config.Rejected || v.Kind == config.Diverged {
+				logger.Warn().Str("event", "publication_"+string(v.Kind)).Uint64("offset", v.Offset).
+					Str("reason", string(v.Reason)).Msg("a publication did not come into force")
+			}
+		},
+		OnError: func(err error) {
+			logger.Warn().Str("event", "log_service_failed").Err(err).Msg("log service failed")
+		},
+	})
+}
+
+// newLinks makes the links with the broker between them and the peers.
+func newLinks(self lease.Holder, known *knownTargets, mail *mail) (*exchange.Links, *coldstart.Broker) {
+	broker := coldstart.NewBroker(self, mail, known, mail.membersNow)
+	links := exchange.NewLinks(broker, func(t *target.Target) { mail.targetLeaving(t.Spec.Name) })
+	known.links = links
+	return links, broker
+}
+
+// frontParts is what the front end needs.
+type frontParts struct {
+	dig.In
+
+	Settings  *settings.Settings
+	Catalog   *service.Catalog
+	Ledger    *contract.Ledger
+	Links     *exchange.Links
+	Cluster   *cluster
+	Directory *directory
+	Standing  *standing
+	Tracing   *telemetry.Tracing
+	Metrics   *telemetry.Metrics
+}
+
+func newFront(p frontParts) *httpapi.Front {
+	return &httpapi.Front{
+		Instance: p.Settings.Instance, Catalog: p.Catalog, Ledger: p.Ledger, Links: p.Links,
+		Forwarder: p.Cluster, Directory: p.Directory, Standing: p.Standing,
+		Tracer: p.Tracing, Metrics: p.Metrics,
+	}
+}
--- /dev/null
+++ b/internal/e2e/path_test.go
@@ -0,0 +1,142 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/caller"
+	"fulmarhoist.example/config"
+	"fulmarhoist.example/internal/standin/fleet"
+)
+
+// orders is a small service with one class of each kind.
+func orders(targets int) fleet.ServicePlan {
+	return fleet.ServicePlan{
+		Name: "orders", Targets: targets, Slots: 2, Connections: 250,
+		Mean: 5 * time.Millisecond, Spread: 2 * time.Millisecond, Seed: 1,
+		Cold: config.ColdStart{Bears: 1, DurationMs: 500, Answers: 3},
+		Classes: []config.Class{
+			{Name: "status", Priority: config.PriorityInteractive, Idempotent: true, DeadlineMs: 10_000, MaxBodyBytes: 1 << 20},
+			{Name: "reorder", Priority: config.PriorityInteractive, DeadlineMs: 10_000, MaxBodyBytes: 1 << 20},
+			{Name: "scan", Priority: config.PriorityUpload, DeadlineMs: 20_000, MaxBodyBytes: 64 << 20},
+		},
+	}
+}
+
+func startFleet(ctx context.Context, plan fleet.Plan) *fleet.Fleet {
+	plan.Bin, plan.Dir = bin, GinkgoT().TempDir()
+	if plan.DirectoryLifetime == 0 {
+		plan.DirectoryLifetime = time.Second
+	}
+	f, err := fleet.Start(ctx, plan)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.Stop)
+	DeferCleanup(func() {
+		if CurrentSpecReport().Failed() {
+			for _, i := range f.Instances {
+				data, _ := os.ReadFile(plan.Dir + "/" + i.ID + ".log")
+				GinkgoWriter.Printf("log of %s:\n%s\n", i.ID, data)
+			}
+		}
+	})
+	return f
+}
+
+func newCaller(f *fleet.Fleet) *caller.Client {
+	var addresses []string
+	for _, i := range f.Instances {
+		addresses = append(addresses, i.Callers)
+	}
+	client, err := caller.New(caller.Options{Instances: addresses, Zone: f.Plan.Zones[0], Deadline: 10 * time.Second})
+	Expect(err).NotTo(HaveOccurred())
+	return client
+}
+
+// span is the part of an exported span that the specs look at.
+type span struct {
+	Name        string
+	SpanContext struct{ TraceID, SpanID string }
+	Parent      struct{ SpanID string }
+}
+
+func readSpans(paths ...string) []span {
+	var spans []span
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			continue
+		}
+		scanner := bufio.NewScanner(file)
+		scanner.Buffer(nil, 1<<20)
+		for scanner.Scan() {
+			var s span
+			if json.Unmarshal(scanner.Bytes(), &s) == nil {
+				spans = append(spans, s)
+			}
+		}
+		_ = file.Close()
+	}
+	return spans
+}
+
+var _ = Describe("One request through separate processes", func() {
+	// Guards against a path that changes the answer, loses the trace, or counts
+	// what did not happen.
+	It("is answered byte for byte, traced per hop and counted", func(ctx SpecContext) {
+		f := startFleet(ctx, fleet.Plan{
+			Zones: []string{"az-1"}, Instances: 1, Services: []fleet.ServicePlan{orders(2)}, Spans: true,
+		})
+		client := newCaller(f)
+		body := []byte(`{"box":"daily lenses","count":2}`)
+		const trace = "4bf92f3577b34da6a3ce929d0e0e4736"
+		response, err := client.Do(ctx, caller.Request{
+			Service: "orders", Class: "reorder", Method: http.MethodPost, Path: "/orders/17?store=darkhan",
+			Header: http.Header{"Traceparent": {"00-" + trace + "-00f067aa0ba902b7-01"}}, Body: body,
+		})
+		Expect(err).NotTo(HaveOccurred())
+		digest := sha256.Sum256(body)
+		Expect(response.Status).To(Equal(http.StatusOK))
+		Expect(string(response.Body)).To(ContainSubstring(hex.EncodeToString(digest[:])))
+		journal, err := f.Targets[0].Control.Journal(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		other, err := f.Targets[1].Control.Journal(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(journal.Counters.Executions + other.Counters.Executions).To(BeNumerically("==", 1))
+
+		page := get(ctx, "http://"+f.Instances[0].Callers+"/metrics")
+		Expect(page).To(ContainSubstring(`fulmarhoist_requests_total{service="orders",outcome="answered"} 1`))
+		Expect(page).To(ContainSubstring(`fulmarhoist_attempts_total{service="orders",result="answered"} 1`))
+
+		Expect(f.Instances[0].Terminate()).To(Succeed())
+		Expect(f.Instances[0].Wait(ctx)).To(Succeed())
+		var names []string
+		for _, s := range readSpans(f.Instances[0].Spans) {
+			if s.SpanContext.TraceID == trace {
+				names = append(names, s.Name)
+			}
+		}
+		Expect(names).To(ContainElements("receive", "attempt"))
+	}, SpecTimeout(time.Minute))
+})
+
+func get(ctx context.Context, url string) string {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return strings.TrimSpace(string(data))
+}
--- a/service/catalog.go
+++ b/service/catalog.go
@@ -30,6 +30,43 @@
 	return found, ok
 }
 
+// Target returns the target with the given name, or nil.
+func (s *Snapshot) Target(name string) *target.Target {
+	for key, t := range s.targets {
+		if key.spec.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// LongestDeadline returns the longest time that a request may run on a target.
+func (s *Snapshot) LongestDeadline(name string) time.Duration {
+	var longest time.Duration
+	if s.State.Config == nil {
+		return 0
+	}
+	for i := range s.State.Config.Services {
+		spec := &s.State.Config.Services[i]
+		if !hasTarget(spec, name) {
+			continue
+		}
+		for _, class := range spec.Classes {
+			longest = max(longest, class.Deadline())
+		}
+	}
+	return longest
+}
+
+func hasTarget(spec *config.Service, name string) bool {
+	for i := range spec.Targets {
+		if spec.Targets[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Targets returns every target that may get new work, by service name.
 func (s *Snapshot) Targets() map[*target.Target]string {
 	all := make(map[*target.Target]string, len(s.targets))
