Bound crashing requests, silent links and late cancellations

Cause: a request that takes its target down was sent on; an attempt on a silent connection waited for the deadline; connections that all broke made a running process look cold. Change: crash counts per fingerprint on the request path, progress watch per attempt, cancellation asked shortly before the deadline of non-idempotent requests, resume by boot id.

--- a/daemon/mail.go
+++ b/daemon/mail.go
@@ -2,19 +2,23 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"fulmarhoist.example/coldstart"
+	"fulmarhoist.example/contract"
 	"fulmarhoist.example/lease"
+	"fulmarhoist.example/target"
 )
 
 // mail carries messages to peers. Parts that the cluster needs itself use it.
 type mail struct {
 	members atomic.Pointer[coldstart.Members]
 	leaving chan string // names of targets that said they are leaving
+	crashes *contract.Fingerprints
 }
 
-func newMail() *mail {
-	m := &mail{leaving: make(chan string, 64)}
+func newMail(crashes *contract.Fingerprints) *mail {
+	m := &mail{leaving: make(chan string, 64), crashes: crashes}
 	m.members.Store(&coldstart.Members{})
 	return m
 }
@@ -31,6 +35,11 @@
 	}
 }
 
+// Crashed implements link.Crashes.
+func (m *mail) Crashed(t *target.Target, running []contract.Fingerprint) {
+	m.crashes.Crashed(time.Now(), t.Spec.Name, running...)
+}
+
 // SendColdAsk implements coldstart.Sender.
 func (m *mail) SendColdAsk(lease.Holder, coldstart.Ask) {}
 
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -59,7 +59,7 @@
 		func(c *service.Catalog) *knownTargets { return &knownTargets{catalog: c} },
 		func(r *instance.Roster, c *service.Catalog) *directory { return &directory{roster: r, catalog: c} },
 		func(d *directory) *drain { return &drain{lifetime: d.lifetime} },
-		newMail, newApplier, newLinks, newReader, newCluster, newFront, newDaemon,
+		contract.NewFingerprints, newMail, newApplier, newLinks, newReader, newCluster, newFront, newDaemon,
 	}
 }
 
@@ -82,7 +82,7 @@
 // newLinks makes the links with the broker between them and the peers.
 func newLinks(self lease.Holder, known *knownTargets, mail *mail) (*exchange.Links, *coldstart.Broker) {
 	broker := coldstart.NewBroker(self, mail, known, mail.membersNow)
-	links := exchange.NewLinks(broker, func(t *target.Target) { mail.targetLeaving(t.Spec.Name) })
+	links := exchange.NewLinks(broker, mail, func(t *target.Target) { mail.targetLeaving(t.Spec.Name) })
 	known.links = links
 	return links, broker
 }
@@ -95,6 +95,7 @@
 	Catalog   *service.Catalog
 	Ledger    *contract.Ledger
 	Links     *exchange.Links
+	Crashes   *contract.Fingerprints
 	Cluster   *cluster
 	Directory *directory
 	Standing  *standing
@@ -105,6 +106,7 @@
 func newFront(p frontParts) *httpapi.Front {
 	return &httpapi.Front{
 		Instance: p.Settings.Instance, Catalog: p.Catalog, Ledger: p.Ledger, Links: p.Links,
+		Crashes:   p.Crashes,
 		Forwarder: p.Cluster, Directory: p.Directory, Standing: p.Standing,
 		Tracer: p.Tracing, Metrics: p.Metrics,
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -59,6 +59,7 @@
 	Service  *service.Service
 	Demand   service.Demand // rank and bounds; deadline and mark are set here
 	Links    *Links
+	Crashes  *contract.Fingerprints
 	Tracer   trace.Tracer
 	Observer Observer
 
@@ -76,6 +77,10 @@
 	}
 	x.Service.Retries.Request(time.Now())
 	for {
+		if !x.Crashes.Empty() && x.Crashes.Refused(time.Now(), fingerprintOf(x, request, content)) {
+			cancel()
+			return nil, x.crashes()
+		}
 		permit, refusal := x.admit(ctx)
 		if refusal != nil {
 			cancel()
@@ -85,6 +90,9 @@
 		if again {
 			continue
 		}
+		if response != nil && !x.Crashes.Empty() {
+			x.Crashes.Answered(fingerprintOf(x, request, content))
+		}
 		if response == nil || response.Rest == nil {
 			cancel()
 		} else {
@@ -94,6 +102,16 @@
 	}
 }
 
+// crashes refuses a request that takes targets down. If it has been sent, it
+// may have run, and a later copy must learn that.
+func (x *Exchange) crashes() *contract.Refusal {
+	refusal := x.Contract.Refuse(contract.ReasonCrashes)
+	if refusal.Outcome == contract.OutcomeNotRun {
+		refusal.Outcome = contract.OutcomeCrashesTargets
+	}
+	return refusal
+}
+
 func bodyReason(err error) contract.Reason {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -188,13 +206,15 @@
 	set := x.Links.Set(chosen)
 	if set == nil {
 		x.release(permit)
-		return nil, nil, x.retryWithoutLink(ctx)
+		pause(ctx, linkPause)
+		return nil, nil, true
 	}
 	taken := set.Take()
 	if taken == nil {
 		x.release(permit)
 		x.tried = append(x.tried, chosen)
-		return nil, nil, x.retryWithoutLink(ctx)
+		pause(ctx, linkPause)
+		return nil, nil, true
 	}
 	s := &sending{x: x, permit: permit, set: set, link: taken, began: time.Now()}
 	if err := x.Contract.BeginAttempt(s.began); err != nil {
@@ -220,23 +240,31 @@
 	if refusal == nil && failure != contract.FailureNotSent && !x.Service.Retries.Retry(now) {
 		refusal = x.Contract.Refuse(contract.ReasonRetriesSpent)
 	}
+	if refusal == nil && failure == contract.FailureLost {
+		pause(ctx, crashSettle)
+	}
 	return nil, refusal, refusal == nil
 }
 
-// retryWithoutLink waits for a moment in which a link may come free: a permit
-// without a link means that a link is being replaced.
-func (x *Exchange) retryWithoutLink(ctx context.Context) bool {
-	timer := time.NewTimer(linkPause)
+// pause waits, or returns when the context ends.
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return true
 }
 
-// linkPause is the time that opening a connection takes.
-const linkPause = time.Millisecond
+const (
+	// linkPause is the time that opening a connection takes. A permit without a
+	// link means that one is being replaced.
+	linkPause = time.Millisecond
+	// crashSettle is the pause before a request whose connection broke is sent
+	// to another target. In it the other connections of a target that went down
+	// break too, and the crash is counted before the request can cause another.
+	crashSettle = 10 * time.Millisecond
+)
 
 func refusalOf(err error) *contract.Refusal {
 	var notAllowed *contract.AttemptError
--- a/exchange/sending.go
+++ b/exchange/sending.go
@@ -41,15 +41,21 @@
 // whether the target may have run it.
 func (s *sending) send(ctx context.Context, request *Request, content *body) (*Response, contract.Failure, error) {
 	attemptID := newAttemptID()
-	out := s.x.outgoing(ctx, request, content, attemptID)
+	s.link.Carry(&link.Work{Fingerprint: func() contract.Fingerprint { return fingerprintOf(s.x, request, content) }})
+	watch := s.watch(ctx, attemptID)
+	out := s.x.outgoing(watch.ctx, request, content, attemptID)
+	watch.observe(out)
 	if !s.permit.MaySend(time.Now()) {
+		watch.end()
 		s.finish(true, time.Time{})
 		return nil, contract.FailureNotSent, &StaleError{s.permit.Target.Spec.Name}
 	}
 	answer, sent, err := s.link.Send(out)
 	if err != nil {
-		return nil, s.failed(sent), fmt.Errorf("send to target %s: %w", s.permit.Target.Spec.Name, err)
+		canceled := watch.end()
+		return nil, s.failed(sent, canceled), fmt.Errorf("send to target %s: %w", s.permit.Target.Spec.Name, err)
 	}
+	answer.Body = watch.body(answer.Body)
 	if err := checkEcho(answer, attemptID); err != nil {
 		return nil, s.discarded(answer), err
 	}
@@ -87,21 +93,27 @@
 func (s *sending) discarded(answer *http.Response) contract.Failure {
 	_ = answer.Body.Close()
 	s.x.Observer.Discarded(s.x.Service.Name)
-	return s.failed(true)
+	return s.failed(true, false)
 }
 
-func (s *sending) failed(sent bool) contract.Failure {
+// failed ends an attempt without a whole answer.
+func (s *sending) failed(sent, canceled bool) contract.Failure {
 	s.permit.Target.Failed(time.Now())
 	s.finish(false, time.Time{})
-	if sent {
+	switch {
+	case !sent:
+		return contract.FailureNotSent
+	case canceled:
+		return contract.FailureCanceled
+	default:
 		return contract.FailureLost
 	}
-	return contract.FailureNotSent
 }
 
 // finish releases the permit, and gives the link back if its connection is in
 // order. A time other than zero is the end of a whole answer.
 func (s *sending) finish(inOrder bool, answered time.Time) {
+	s.link.Carry(nil)
 	if inOrder && !answered.IsZero() && answered.After(s.began) {
 		took := answered.Sub(s.began)
 		s.permit.Target.Answered(took)
@@ -115,3 +127,7 @@
 	}
 	s.x.release(s.permit)
 }
+
+func fingerprintOf(x *Exchange, request *Request, content *body) contract.Fingerprint {
+	return contract.NewFingerprint(x.Service.Name, x.Contract.Terms.Class, request.Method, request.URL.RequestURI(), content.kept)
+}
--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -51,6 +51,7 @@
 	Catalog   *service.Catalog
 	Ledger    *contract.Ledger
 	Links     *exchange.Links
+	Crashes   *contract.Fingerprints
 	Forwarder Forwarder
 	Directory Directory
 	Standing  Standing
@@ -149,6 +150,7 @@
 		Service:  a.service,
 		Demand:   demandOf(a.class),
 		Links:    f.Links,
+		Crashes:  f.Crashes,
 		Tracer:   f.Tracer,
 		Observer: f.Metrics,
 	}
--- a/link/link.go
+++ b/link/link.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"fulmarhoist.example/contract"
 )
 
 const (
@@ -20,6 +22,10 @@
 	maxResponseHeaderBytes = 64 << 10
 )
 
+// keepAlive finds idle connections that something between the two ends has lost
+// track of, within about 5 s.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+
 // SpentError reports that net/http asked a link for a second connection. A link
 // has one connection in its life, so that the library cannot resend a request.
 type SpentError struct {
@@ -52,12 +58,22 @@
 	conn      *observedConn
 	transport *http.Transport
 	trusted   atomic.Bool
+	work      atomic.Pointer[Work]
 }
 
+// Work is a request on a link. Fingerprint is called only if the connection
+// breaks while the request is on it.
+type Work struct {
+	Fingerprint func() contract.Fingerprint
+}
+
+// Carry records the request that is on the link; nil when it has ended.
+func (l *Link) Carry(work *Work) { l.work.Store(work) }
+
 // Open connects to the address. The function broken is called once, from any
 // goroutine, when the connection has ended for any reason.
 func Open(ctx context.Context, address string, generation uint32, broken func(*Link)) (*Link, error) {
-	dialer := net.Dialer{Timeout: DialTimeout}
+	dialer := net.Dialer{Timeout: DialTimeout, KeepAliveConfig: keepAlive}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"fulmarhoist.example/contract"
 	"fulmarhoist.example/link"
 	"fulmarhoist.example/target"
 )
@@ -121,6 +122,7 @@
 func (*always) ProvedWarm(*target.Target) bool                      { return false }
 func (*always) Warm(*target.Target)                                 {}
 func (*always) Wanted(time.Time) bool                               { return true }
+func (*always) Crashed(*target.Target, []contract.Fingerprint)      {}
 func (a *always) Ready()                                            { a.ready.Add(1) }
 
 func runSet(t *target.Target) *link.Set {
@@ -129,7 +131,7 @@
 		Probes: target.NewProbeBudget(0, 7),
 	}
 	helper := &always{}
-	set := link.NewSet(t, terms, helper, helper)
+	set := link.NewSet(t, terms, link.Surroundings{Lessor: helper, Demand: helper, Crashes: helper})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); set.Run(ctx) }()
--- a/link/owner.go
+++ b/link/owner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -23,6 +25,10 @@
 	probeTimeout = time.Second
 	// loadPath is the load endpoint of a target.
 	loadPath = "/fulmarhoist-load"
+	// maxProbeBytes bounds the body of a load endpoint's answer.
+	maxProbeBytes = 4096
+
+	headerBootID = "Fulmarhoist-Boot-Id"
 )
 
 // owner is the goroutine of a Set: it opens links, steps the warm-up and sends
@@ -87,17 +93,17 @@
 		until := o.coldUntil(now)
 		o.target.Lease(until)
 		leased = o.terms.Cold.Share() == 0 && now.Before(until)
-		if o.lessor.ProvedWarm(o.target) {
+		if o.Lessor.ProvedWarm(o.target) {
 			o.warmup.ProvedWarm()
 		}
 	}
 	o.warmup.Step(now, leased)
 	after, _ := o.target.State()
 	if before == target.StateCold && after == target.StateWarming {
-		o.lessor.Warm(o.target)
+		o.Lessor.Warm(o.target)
 	}
 	if o.target.Limit() > limit {
-		o.demand.Ready()
+		o.Demand.Ready()
 	}
 	return stepInterval
 }
@@ -111,11 +117,11 @@
 	if answers := o.target.Answers(); answers != o.answers || o.target.InFlight() > 0 {
 		o.answers, o.usedAt = answers, now
 	}
-	if !o.demand.Wanted(now) && now.Sub(o.usedAt) > useWindow {
-		o.lessor.Relinquish(now, o.target)
+	if !o.Demand.Wanted(now) && now.Sub(o.usedAt) > useWindow {
+		o.Lessor.Relinquish(now, o.target)
 		return time.Time{}
 	}
-	return o.lessor.ColdLease(now, o.target)
+	return o.Lessor.ColdLease(now, o.target)
 }
 
 // probe asks the load endpoint over an idle trusted link. Its answer proves
@@ -126,17 +132,45 @@
 		return
 	}
 	o.wantProof.Store(false)
+	sent := time.Now()
+	if _, err := askLoad(ctx, l); err != nil {
+		return
+	}
+	o.Answered(l, sent)
+	o.Put(l)
+}
+
+// identify asks over the first link of a generation which process it reaches. If
+// only the connections to a warm process had broken, it goes on as warm.
+func (o *owner) identify(ctx context.Context, l *Link) error {
+	if !o.target.Identifiable() || !o.terms.Probes.Take(time.Now()) {
+		return nil
+	}
+	bootID, err := askLoad(ctx, l)
+	if err != nil {
+		return err
+	}
+	if !o.target.Resume(l.Generation, bootID) {
+		o.target.SawBootID(l.Generation, bootID)
+	}
+	return nil
+}
+
+// askLoad reads the load endpoint and returns the boot id of the process.
+func askLoad(ctx context.Context, l *Link) (bootID string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	sent := time.Now()
 	request := (&http.Request{Method: http.MethodGet, URL: &url.URL{Path: loadPath}, Header: http.Header{}}).WithContext(ctx)
 	response, _, err := l.Send(request)
 	if err != nil {
-		return
+		return "", fmt.Errorf("probe the load endpoint: %w", err)
 	}
-	_ = response.Body.Close()
-	o.Answered(l, sent)
-	o.Put(l)
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBytes)); err != nil {
+		l.Close()
+		return "", fmt.Errorf("probe the load endpoint: %w", err)
+	}
+	return response.Header.Get(headerBootID), nil
 }
 
 func (s *Set) missing() bool {
@@ -170,8 +204,11 @@
 	s.mu.Unlock()
 	if first {
 		o.warmup.Connected(time.Now(), generation)
+		if err := o.identify(ctx, l); err != nil {
+			return err
+		}
 		s.Put(l)
-		s.demand.Ready()
+		s.Demand.Ready()
 	}
 	return nil
 }
--- a/link/set.go
+++ b/link/set.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"fulmarhoist.example/contract"
 	"fulmarhoist.example/target"
 )
 
@@ -33,12 +34,35 @@
 	Ready()
 }
 
+// Crashes is told which requests were running on a target when all of its
+// connections broke.
+type Crashes interface {
+	Crashed(t *target.Target, running []contract.Fingerprint)
+}
+
 // Terms is what is agreed about a target's links.
 type Terms struct {
 	Cold   target.ColdTerms
 	Probes *target.ProbeBudget
 }
 
+// Surroundings are the parts that a Set works with.
+type Surroundings struct {
+	Lessor  Lessor
+	Demand  Demand
+	Crashes Crashes
+}
+
+// crashWindow is the time within which the connections of a process that has
+// ended break. Requests on connections that broke earlier did not run then.
+const crashWindow = time.Second
+
+// lostWork is a request whose connection broke.
+type lostWork struct {
+	at   time.Time
+	work *Work
+}
+
 // Set holds the links of one target. Request goroutines take and return links
 // over a channel; the goroutine that runs Run opens them.
 //
@@ -50,10 +74,9 @@
 type Set struct {
 	target *target.Target
 	terms  Terms
-	lessor Lessor
-	demand Demand
-	idle   chan *Link
-	wake   chan struct{} // capacity 1
+	Surroundings
+	idle chan *Link
+	wake chan struct{} // capacity 1
 
 	wantProof atomic.Bool
 	proved    atomic.Int64 // when the newest answered request was sent, Unix nanoseconds
@@ -61,19 +84,19 @@
 	mu      sync.Mutex
 	open    map[*Link]struct{}
 	waiting []*Link // open, not trusted
+	lost    []lostWork
 	closed  bool
 }
 
 // NewSet returns the set of links of a target.
-func NewSet(t *target.Target, terms Terms, lessor Lessor, demand Demand) *Set {
+func NewSet(t *target.Target, terms Terms, surroundings Surroundings) *Set {
 	return &Set{
-		target: t,
-		terms:  terms,
-		lessor: lessor,
-		idle:   make(chan *Link, t.Spec.Links),
-		wake:   make(chan struct{}, 1),
-		demand: demand,
-		open:   make(map[*Link]struct{}, t.Spec.Links),
+		target:       t,
+		terms:        terms,
+		Surroundings: surroundings,
+		idle:         make(chan *Link, t.Spec.Links),
+		wake:         make(chan struct{}, 1),
+		open:         make(map[*Link]struct{}, t.Spec.Links),
 	}
 }
 
@@ -178,21 +201,39 @@
 // broken is called once when a link has ended. The last trusted link of a
 // generation takes the generation with it, and the links that were not trusted.
 func (s *Set) broken(l *Link) {
+	now := time.Now()
 	s.mu.Lock()
 	_, known := s.open[l]
 	delete(s.open, l)
+	if work := l.work.Load(); work != nil {
+		s.lost = append(s.lost, lostWork{now, work})
+	}
 	var dropped []*Link
-	if known && l.trusted.Load() && !s.hasTrusted(l.Generation) {
-		s.target.Restarted(l.Generation)
+	var lost []lostWork
+	if known && l.trusted.Load() && !s.hasTrusted(l.Generation) && s.target.Restarted(l.Generation) {
 		dropped, s.waiting = s.waiting, nil
+		lost = s.lost
+	}
+	if len(s.lost) > cap(s.idle) || lost != nil {
+		s.lost = nil
 	}
 	s.mu.Unlock()
 	for _, d := range dropped {
 		d.Close()
 	}
-	select {
-	case s.wake <- struct{}{}:
-	default:
+	s.reportCrash(now, lost)
+	s.notify()
+}
+
+func (s *Set) reportCrash(now time.Time, lost []lostWork) {
+	var running []contract.Fingerprint
+	for _, l := range lost {
+		if now.Sub(l.at) <= crashWindow {
+			running = append(running, l.work.Fingerprint())
+		}
+	}
+	if len(running) > 0 {
+		s.Crashes.Crashed(s.target, running)
 	}
 }
 
--- a/target/target.go
+++ b/target/target.go
@@ -88,7 +88,8 @@
 	failures  atomic.Uint32 // consecutive failures
 	blockedTo atomic.Int64  // no new work before this time, Unix nanoseconds
 	answers   atomic.Uint64 // whole answers since this instance knows the target
-	bootID    atomic.Pointer[string]
+	process   atomic.Pointer[process]
+	ended     atomic.Pointer[endedGeneration]
 	coldUntil atomic.Int64 // work for a cold target may start before this time, Unix nanoseconds
 }
 
@@ -184,6 +185,15 @@
 	}
 }
 
+// endedGeneration is what was known about a process when its last connection
+// broke. It is immutable.
+type endedGeneration struct {
+	generation uint32
+	state      State
+	limit      int
+	bootID     string
+}
+
 // Restarted records evidence that the process of the given generation is gone.
 // The target becomes cold in a new generation. Evidence about an earlier
 // generation has no effect, so many goroutines may report the same restart.
@@ -194,11 +204,35 @@
 			return false
 		}
 		if t.word.CompareAndSwap(uint64(w), uint64(pack(generation+1, StateCold, 0, 0))) {
+			t.remember(w)
 			return true
 		}
 	}
 }
 
+func (t *Target) remember(w word) {
+	if known := t.process.Load(); known != nil && known.generation == w.generation() {
+		t.ended.Store(&endedGeneration{w.generation(), w.state(), w.limit(), known.bootID})
+	}
+}
+
+// Resume restores state and limit if the process of the given generation turns
+// out to be the one of the generation before: only its connections had broken.
+// It tells whether it did.
+func (t *Target) Resume(generation uint32, bootID string) bool {
+	before := t.ended.Load()
+	if bootID == "" || before == nil || before.generation+1 != generation || before.bootID != bootID {
+		return false
+	}
+	if before.state != StateWarm && before.state != StateWarming {
+		return false
+	}
+	return t.Transition(generation, before.state, before.limit)
+}
+
+// Identifiable tells whether the target names its process in answers.
+func (t *Target) Identifiable() bool { return t.process.Load() != nil }
+
 const (
 	// smoothing is the weight of a new response time in the moving average.
 	smoothing = 0.2
@@ -227,24 +261,35 @@
 // Answers returns the number of whole answers so far.
 func (t *Target) Answers() uint64 { return t.answers.Load() }
 
+// process is a boot id with the generation that it was seen in. It is immutable.
+type process struct {
+	generation uint32
+	bootID     string
+}
+
 // SawBootID records the boot id that came with an answer of the given
-// generation. Another id than the one known for the generation is evidence of a
-// restart; the result is false then.
+// generation. A second id within one generation is evidence of a restart that
+// left a connection open; the result is false then.
 func (t *Target) SawBootID(generation uint32, id string) bool {
 	if id == "" {
 		return true
 	}
-	known := t.bootID.Load()
-	if known != nil && *known == id {
-		return true
-	}
-	if known == nil {
-		t.bootID.CompareAndSwap(nil, &id)
-		return true
+	for {
+		known := t.process.Load()
+		if known != nil && known.generation == generation {
+			if known.bootID == id {
+				return true
+			}
+			t.Restarted(generation)
+			return false
+		}
+		if known != nil && known.generation > generation {
+			return true
+		}
+		if t.process.CompareAndSwap(known, &process{generation, id}) {
+			return true
+		}
 	}
-	t.bootID.Store(&id)
-	t.Restarted(generation)
-	return false
 }
 
 // Failed records an attempt without an answer. Consecutive failures take the
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -94,6 +94,33 @@
 		t.Failed(now)
 		Expect(t.Admits(now.Add(50 * time.Millisecond))).To(BeTrue())
 	})
+
+	// Guards against a restart that left a connection open in between.
+	It("takes a second boot id within a generation for a restart", func() {
+		Expect(t.SawBootID(1, "a")).To(BeTrue())
+		Expect(t.SawBootID(1, "a")).To(BeTrue())
+		Expect(t.SawBootID(1, "b")).To(BeFalse())
+		_, generation := t.State()
+		Expect(generation).To(BeNumerically("==", 2))
+		Expect(t.SawBootID(2, "b")).To(BeTrue())
+		Expect(t.SawBootID(1, "a")).To(BeTrue(), "a late answer of the old process is no news")
+	})
+
+	// Guards against a cold start of a server that only lost its connections.
+	It("resumes only the process that the generation before stood for", func() {
+		t.Transition(1, target.StateWarm, 4)
+		t.SawBootID(1, "a")
+		t.Restarted(1)
+		Expect(t.Resume(2, "b")).To(BeFalse())
+		Expect(t.Resume(2, "")).To(BeFalse())
+		Expect(t.Resume(2, "a")).To(BeTrue())
+		state, _ := t.State()
+		Expect(state).To(Equal(target.StateWarm))
+		Expect(t.Limit()).To(Equal(4))
+
+		t.Restarted(2)
+		Expect(t.Resume(3, "a")).To(BeFalse(), "no answer of generation 2 named its process")
+	})
 })
 
 var _ = Describe("Warmup", func() {
