--- a/config/configuration.go
+++ b/config/configuration.go
@@ -14,7 +14,8 @@
 	// MaxInstances is the largest number of entry instances that run at the
 	// same time, including replacements that overlap. Shares are divided by it.
 	MaxInstances int `json:"max_instances"`
-	// DirectoryLifetimeMs is how long callers keep a directory answer.
+	// DirectoryLifetimeMs is how long callers keep a directory answer, in
+	// milliseconds.
 	DirectoryLifetimeMs int `json:"directory_lifetime_ms"`
 	// Measuring bounds what measuring load on targets may cost.
 	Measuring Measuring `json:"measuring"`
@@ -32,18 +33,24 @@
 
 // Zone is one availability zone.
 type Zone struct {
-	Name   string `json:"name"`
+	// Name of the availability zone, unique.
+	Name string `json:"name"`
+	// Region that the availability zone belongs to.
 	Region string `json:"region"`
 	// Out is true while operators have taken the zone out of service.
 	Out bool `json:"out"`
-	// RoundTripMs is the round trip from any other zone of the region.
+	// RoundTripMs is the round trip from any other zone of the region, in
+	// milliseconds.
 	RoundTripMs float64 `json:"round_trip_ms"`
 }
 
 // Service is one service with its targets.
 type Service struct {
-	Name    string   `json:"name"`
-	Classes []Class  `json:"classes"`
+	// Name of the service, unique.
+	Name string `json:"name"`
+	// Classes lists the kinds of requests.
+	Classes []Class `json:"classes"`
+	// Targets lists the servers.
 	Targets []Target `json:"targets"`
 	// ColdStart is what a target of this service bears after it started.
 	ColdStart ColdStart `json:"cold_start"`
@@ -67,13 +74,16 @@
 
 // Class is one kind of request of a service.
 type Class struct {
-	Name     string   `json:"name"`
+	// Name of the class, unique in its service.
+	Name string `json:"name"`
+	// Priority is interactive, upload or deferrable.
 	Priority Priority `json:"priority"`
 	// Idempotent is false for requests that must never run twice.
 	Idempotent bool `json:"idempotent"`
-	// DeadlineMs applies where a request names no deadline, and caps it.
+	// DeadlineMs applies where a request names no deadline, and caps it; in
+	// milliseconds.
 	DeadlineMs int `json:"deadline_ms"`
-	// MaxBodyBytes bounds the body of a request.
+	// MaxBodyBytes bounds the body of a request, in bytes.
 	MaxBodyBytes int64 `json:"max_body_bytes"`
 }
 
@@ -82,9 +92,12 @@
 
 // Target is one server of a service.
 type Target struct {
-	Name    string `json:"name"`
+	// Name of the server, unique among all services.
+	Name string `json:"name"`
+	// Address of the server, host:port, unique among all services.
 	Address string `json:"address"`
-	Zone    string `json:"zone"`
+	// Zone is the availability zone that the server runs in.
+	Zone string `json:"zone"`
 	// Slots is how many requests the server works on at the same time.
 	Slots int `json:"slots"`
 	// Connections is how many connections the server accepts from all
@@ -98,7 +111,7 @@
 type ColdStart struct {
 	// Bears is the number of requests at the same time, over all instances.
 	Bears int `json:"bears"`
-	// DurationMs is how long a server stays cold at least.
+	// DurationMs is how long a server stays cold at least, in milliseconds.
 	DurationMs int `json:"duration_ms"`
 	// Answers is the number of whole answers before the ramp starts.
 	Answers int `json:"answers"`
