--- a/questionnaire/answers.go
+++ b/questionnaire/answers.go
@@ -17,7 +17,7 @@
 	// DirectoryLifetimeMs is how long callers keep the addresses of entry
 	// instances, in milliseconds. Optional; 30000 if left out. A planned stop
 	// of an instance takes at least as long.
-	DirectoryLifetimeMs int `json:"directory_lifetime_ms,omitempty"`
+	DirectoryLifetimeMs *int `json:"directory_lifetime_ms,omitempty"`
 	// ProbesPerSecond is how many load probes each server may get per second,
 	// from all entry instances together; 0 turns probes off.
 	ProbesPerSecond float64 `json:"probes_per_second"`
@@ -56,12 +56,12 @@
 	ColdStart ColdStart `json:"cold_start"`
 	// Classes lists the kinds of requests.
 	Classes []Class `json:"classes"`
-	// QueueLimit bounds the requests that wait in one entry instance. Optional;
-	// if left out, four times the slots of all servers of the service.
-	QueueLimit int `json:"queue_limit,omitempty"`
-	// RetryPercent bounds retries, in percent of the requests. Optional; 10 if
-	// left out.
-	RetryPercent int `json:"retry_percent,omitempty"`
+	// QueueLimit bounds the requests that wait in one entry instance; with 0
+	// none waits. Optional; if left out, four times the slots of all servers of the service.
+	QueueLimit *int `json:"queue_limit,omitempty"`
+	// RetryPercent bounds retries, in percent of the requests; 0 turns them off.
+	// Optional; 10 if left out.
+	RetryPercent *int `json:"retry_percent,omitempty"`
 }
 
 // Group is a number of servers in one availability zone.
@@ -75,7 +75,7 @@
 	AddressPattern string `json:"address_pattern"`
 	// First is the number of the first server; the others follow. Optional; 1
 	// if left out.
-	First int `json:"first,omitempty"`
+	First *int `json:"first,omitempty"`
 }
 
 // Server is one listed server.
@@ -96,7 +96,7 @@
 	ForMs int `json:"for_ms"`
 	// Answers is how many complete answers a cold server gives before it gets
 	// more. Optional; 5 if left out.
-	Answers int `json:"answers,omitempty"`
+	Answers *int `json:"answers,omitempty"`
 }
 
 // Repeat tells whether a request may run more than once.
--- a/questionnaire/generate.go
+++ b/questionnaire/generate.go
@@ -73,11 +73,11 @@
 const taken = "taken as answered"
 
 // either returns the answer, or the default if there is none.
-func either(answer, fallback int) (int, string) {
-	if answer == 0 {
+func either(answer *int, fallback int) (int, string) {
+	if answer == nil {
 		return fallback, "default, as there is no answer"
 	}
-	return answer, taken
+	return *answer, taken
 }
 
 func (g *generator) configuration() *config.Configuration {
@@ -122,7 +122,7 @@
 	cold.Answers, rule = either(s.ColdStart.Answers, DefaultColdAnswers)
 	g.note(at+".cold_start.answers", cold.Answers, rule, at+".cold_start.answers")
 	result.QueueLimit, rule = either(s.QueueLimit, defaultQueuePerSlot*s.Slots*len(result.Targets))
-	if s.QueueLimit == 0 {
+	if s.QueueLimit == nil {
 		rule = fmt.Sprintf("%d times the slots of all %d servers", defaultQueuePerSlot, len(result.Targets))
 	}
 	g.note(at+".queue_limit", result.QueueLimit, rule, at+".queue_limit", at+".slots", at+".groups", at+".servers")
--- a/questionnaire/validate.go
+++ b/questionnaire/validate.go
@@ -17,9 +17,6 @@
 		for j := range s.Classes {
 			s.Classes[j].validate(&ps, fmt.Sprintf("%s.classes[%d]", at, j))
 		}
-		if s.QueueLimit < 0 {
-			ps.Add(at+".queue_limit", "it is negative", "use a positive number, or leave it out")
-		}
 		for j := range s.Groups {
 			total += min(max(s.Groups[j].Count, 0), config.MaxTargets)
 		}
@@ -61,7 +58,8 @@
 	for i, group := range s.Groups {
 		path := fmt.Sprintf("%s.groups[%d]", at, i)
 		ps.Int(path+".count", int64(group.Count), config.Range{Min: 1, Max: config.MaxTargets})
-		ps.Int(path+".first", int64(group.First), config.Range{Min: 0, Max: 1_000_000})
+		first, _ := either(group.First, 1)
+		ps.Int(path+".first", int64(first), config.Range{Min: 0, Max: 1_000_000})
 		if group.Count > 1 && !strings.Contains(group.AddressPattern, placeholder) {
 			ps.Add(path+".address_pattern", "all servers of the group would have the same address",
 				"put {n} in place of the number that differs")
--- a/settings/strictjson/strictjson.go
+++ b/settings/strictjson/strictjson.go
@@ -161,6 +161,8 @@
 // wanted names what a Go kind takes.
 func wanted(t reflect.Type) string {
 	switch t.Kind() {
+	case reflect.Pointer:
+		return wanted(t.Elem())
 	case reflect.Struct:
 		return "an object"
 	case reflect.Slice:
@@ -180,6 +182,9 @@
 		return
 	}
 	switch into.Kind() {
+	case reflect.Pointer:
+		into.Set(reflect.New(into.Type().Elem()))
+		d.fill(path, n, into.Elem())
 	case reflect.Struct:
 		d.fillStruct(path, n, into)
 	case reflect.Slice:
