Add fulmarhoistctl load

There was no way to see what callers get during an event: a closed-loop tool stops sending while answers stall and so hides the stall.

load sends at scheduled times and measures from them. The engine in internal/loadgen is separate from the sending and runs in virtual time in its tests. Requests in flight are bounded; those that start late or not at all are counted. A kernel timer paces the run, because timers of the runtime are up to a millisecond late in an idle process. Request.Validate is exported so that a mix is checked before the run.

--- a/caller/client.go
+++ b/caller/client.go
@@ -151,7 +151,7 @@
 // UnknownError of a request that is not idempotent, it may be given to Do again
 // only with Request.Key set to the key of the error.
 func (c *Client) Do(ctx context.Context, request Request) (*Response, error) {
-	if err := request.validate(); err != nil {
+	if err := request.Validate(); err != nil {
 		return nil, err
 	}
 	limit := request.Deadline
--- a/caller/request.go
+++ b/caller/request.go
@@ -83,8 +83,8 @@
 // maxDeadline bounds deadlines so that arithmetic on them cannot overflow.
 const maxDeadline = 24 * time.Hour
 
-// validate reports the first field that cannot be sent.
-func (r *Request) validate() error {
+// Validate reports the first field that cannot be sent. Do calls it.
+func (r *Request) Validate() error {
 	switch {
 	case r.Service == "":
 		return &RequestError{"Service", "is empty"}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -62,7 +62,7 @@
 	root.PersistentFlags().Var(&a.output, "output", "output format: table or json")
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(
 		[]string{string(outputTable), string(outputJSON)}, cobra.ShellCompDirectiveNoFileComp))
-	root.AddCommand(a.sendCommand(), a.statusCommand())
+	root.AddCommand(a.sendCommand(), a.statusCommand(), a.loadCommand())
 	return root
 }
 
