--- a/service/policy_test.go
+++ b/service/policy_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -76,6 +78,34 @@
 	})
 })
 
+// TestComparePolicies prints the latency of each policy for COMPARE_SEEDS seeds,
+// 1 if unset, in virtual time:
+//
+//	COMPARE_SEEDS=5 go test -v -run TestComparePolicies ./service/
+func TestComparePolicies(t *testing.T) {
+	seeds, _ := strconv.Atoi(os.Getenv("COMPARE_SEEDS"))
+	mean := map[string]float64{}
+	for seed := range uint64(max(1, seeds)) {
+		runs := map[string]*model{}
+		for name := range policies() {
+			runs[name] = runModel(seed+1, func() service.Policy { return policies()[name] })
+			mean[name] += runs[name].quantile(0.99) / float64(max(1, seeds))
+		}
+		for name, run := range runs {
+			line := fmt.Sprintf("seed %d %-15s n=%d", seed+1, name, len(run.latencies))
+			for _, q := range []float64{0.5, 0.99, 0.999} {
+				v := run.quantile(q)
+				line += fmt.Sprintf("  p%g %.1f ms (rr %.2f, p2c %.2f)", q*100, v,
+					v/runs["round-robin"].quantile(q), v/runs["p2c"].quantile(q))
+			}
+			t.Log(line)
+		}
+	}
+	for name, p99 := range mean {
+		t.Logf("mean p99 %-15s %.1f ms", name, p99)
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	now := time.Unix(1_000_000, 0)
 	for _, size := range []int{20, 1000} {
