target: average the load that peers report over time

Change: ReportPeers keeps a time-weighted average with a half-life of 700 ms and ignores loads that are not numbers of requests.

--- a/target/target.go
+++ b/target/target.go
@@ -188,6 +188,9 @@
 	// peerLoadHalfLife discounts the load that peers reported: reports are
 	// already stale when they arrive.
 	peerLoadHalfLife = 200 * time.Millisecond
+	// peerAverageHalfLife is the time in which the weight of a report in the
+	// average of reports halves. It is several times the age of a report.
+	peerAverageHalfLife = 700 * time.Millisecond
 )
 
 // Answered records a whole answer and its response time.
@@ -212,10 +215,27 @@
 	t.blockedTo.Store(now.Add(min(backoff, maxBackoff)).UnixNano())
 }
 
-// ReportPeers records the requests in flight from other instances.
+// ReportPeers records the requests in flight from other instances. Reports are
+// averaged over time: all instances see the same reports late, and following each
+// one sends all of them to the same target at once. A load that is not a number
+// of requests is ignored.
 func (t *Target) ReportPeers(now time.Time, inFlight float64) {
-	t.peerLoad.Store(math.Float64bits(inFlight))
-	t.peerAt.Store(now.UnixNano())
+	if math.IsNaN(inFlight) || inFlight < 0 || math.IsInf(inFlight, 1) {
+		return
+	}
+	last := t.peerAt.Swap(now.UnixNano())
+	weight := 1.0
+	if last != 0 {
+		passed := max(0, time.Duration(now.UnixNano()-last))
+		weight = 1 - math.Exp2(-passed.Seconds()/peerAverageHalfLife.Seconds())
+	}
+	for {
+		old := t.peerLoad.Load()
+		mean := math.Float64frombits(old)
+		if t.peerLoad.CompareAndSwap(old, math.Float64bits(mean+weight*(inFlight-mean))) {
+			return
+		}
+	}
 }
 
 // ExpectedDelay estimates the response time of one more request.
