target: lengthen the average of response times

Cause: with a weight of 0.2 the estimate follows single long requests, and the choice of the least estimate favors servers whose estimate is too low by chance.

Change: a weight of 0.05.

--- a/target/target.go
+++ b/target/target.go
@@ -180,8 +180,10 @@
 }
 
 const (
-	// smoothing is the weight of a new response time in the moving average.
-	smoothing = 0.2
+	// smoothing is the weight of a new response time in the moving average. The
+	// least of several noisy estimates is mostly one that is too low, so the
+	// average has to be long; 0.05 follows a slow server within 20 answers.
+	smoothing = 0.05
 	// firstBackoff and maxBackoff bound the pause after consecutive failures.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 5 * time.Second
