--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -156,7 +156,7 @@
 	}
 	p, ready, err := f.start(t.Name, "standin", "target",
 		"--service", s.Name, "--slots", fmt.Sprint(s.Slots), "--mean", s.Mean.String(), "--spread", s.Spread.String(),
-		"--seed", fmt.Sprint(s.Seed+uint64(i)), "--cold-for", (s.Cold.Duration()*9/10).String(), "--cold-bears", fmt.Sprint(s.Cold.Bears))
+		"--seed", fmt.Sprint(s.Seed+uint64(i)), "--cold-for", (s.Cold.Duration() * 9 / 10).String(), "--cold-bears", fmt.Sprint(s.Cold.Bears))
 	if err != nil {
 		return err
 	}
--- a/service/comparison_test.go
+++ b/service/comparison_test.go
@@ -90,7 +90,7 @@
 		m.servers = append(m.servers, &server{zone: s % 3, factor: 1})
 	}
 	for i := range modelInstances {
-		e := &entry{zone: i % 3, service: service.New("orders", 1000, policy())}
+		e := &entry{zone: i % 3, service: service.New("orders", 1000, 10, policy())}
 		zones := []*zone.Zone{{RoundTrip: 2 * oneWay}, {RoundTrip: 2 * oneWay}, {RoundTrip: 2 * oneWay}}
 		zones[e.zone].RoundTrip = 0
 		for s := range modelServers {
