Connect entry instances with each other

Cause: instances knew nothing of each other, so leases on cold targets, keys of other owners, configuration from peers and crash reports had no way between them. Change: peer protocol (first version), cluster goroutine with roster, loads and mesh; forwarding of keyed requests to their owner; broker over the mesh. Result: three instances share six cold servers that bear one request each: 60 requests answered, no overload while cold (internal/e2e).

--- a/coldstart/broker.go
+++ b/coldstart/broker.go
@@ -46,7 +46,6 @@
 // Sender sends messages to peers without waiting. A message may be lost.
 type Sender interface {
 	SendColdAsk(to lease.Holder, ask Ask)
-	SendColdAnswer(to lease.Holder, answer Answer)
 	SendColdRelease(to lease.Holder, release Release)
 }
 
@@ -236,20 +235,11 @@
 	b.sendRelease(&request, members)
 }
 
-// OnAsk handles a message of a peer.
-func (b *Broker) OnAsk(now time.Time, from lease.Holder, ask Ask) {
-	answer := Answer{Target: ask.Target, Round: ask.Round, Generation: ask.Generation, Reply: b.reply(now, from, ask)}
-	if ask.Round == 0 && answer.Reply != lease.ReplyWarm {
-		return
-	}
-	b.sender.SendColdAnswer(from, answer)
-}
-
-// reply decides on an Ask. An instance that believes the target warm does not
+// OnAsk decides on a peer's message. An instance that believes the target warm does not
 // consent: it goes on sending, and proves to the asking instance that the target
 // is warm. If its belief is wrong, its links break and the next round finds the
 // target cold here too.
-func (b *Broker) reply(now time.Time, from lease.Holder, ask Ask) lease.Reply {
+func (b *Broker) OnAsk(now time.Time, from lease.Holder, ask Ask) lease.Reply {
 	t, set := b.known.ByName(ask.Target)
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -53,6 +53,8 @@
 	ReasonNoConfig       Reason = "no-configuration"
 	ReasonCallerCanceled Reason = "canceled-by-caller"
 	ReasonBodyTooLarge   Reason = "body-too-large"
+	ReasonAnswerNotKept  Reason = "answer-not-kept"
+	ReasonMalformed      Reason = "malformed"
 )
 
 // Refusal is a settled request without an answer from a target.
--- a/daemon/cluster.go
+++ b/daemon/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -11,10 +12,14 @@
 	"fulmarhoist.example/coldstart"
 	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/contract"
-	"fulmarhoist.example/exchange"
+	"fulmarhoist.example/httpapi"
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/lease"
+	"fulmarhoist.example/peerwire"
 	"fulmarhoist.example/platform"
+	"fulmarhoist.example/service"
+	"fulmarhoist.example/settings"
+	"fulmarhoist.example/target"
 )
 
 const (
@@ -24,47 +29,127 @@
 	listTimeout = 2 * time.Second
 	// tickInterval is how often the roster looks at silent peers.
 	tickInterval = 100 * time.Millisecond
+	// inboxSize is how many events of peers may wait for the cluster's goroutine.
+	// Beats that do not fit are dropped; the next ones make up for them.
+	inboxSize = 1024
+)
+
+// collaborators are the parts that the cluster works with.
+type collaborators struct {
+	Settings *settings.Settings
+	Self     lease.Holder
+	Roster   *instance.Roster
+	List     platform.InstanceList
+	Reader   *configlog.Reader
+	Ledger   *contract.Ledger
+	Catalog  *service.Catalog
+	Broker   *coldstart.Broker
+	Crashes  *contract.Fingerprints
+	Applier  *applier
+	Standing *standing
+	Mail     *mail
+	Logger   zerolog.Logger
+}
+
+// notice is a target's own word that it is leaving.
+type notice struct {
+	at   time.Time
+	here bool // said to this instance, which then tells its peers
+}
+
+const (
+	// noticeLifetime is how long a target's word counts if the instance list does
+	// not show it as leaving. A target that stays after all is asked again then.
+	noticeLifetime = 2 * time.Minute
+	// noticeReport is how long peers are told.
+	noticeReport = 10 * time.Second
 )
 
 // cluster is this instance among the others. Its goroutine is the one writer of
-// the roster; the instance list and the peers reach it over channels.
+// the roster and of the peers' loads; the instance list and the peers reach it
+// over channels.
 type cluster struct {
-	roster   *instance.Roster
-	list     platform.InstanceList
-	reader   *configlog.Reader
-	ledger   *contract.Ledger
-	applier  *applier
-	standing *standing
-	logger   zerolog.Logger
+	collaborators
 
+	front    *httpapi.Front // set before run, to serve forwarded requests
+	mesh     *peerwire.Mesh
 	listings chan platform.Listing
-	mail     *mail
+	inbox    chan func(now time.Time)
+
+	// The fields below belong to the goroutine of run.
+	loads    *instance.Loads
+	table    *instance.Table
+	reporter instance.Reporter
+	listed   map[string]bool   // targets that the instance list shows as leaving
+	told     map[string]notice // targets that said they are leaving, here or to a peer
+	beatAt   time.Time
+	sentTo   map[string]uint64 // configuration version last sent, by peer
 }
 
-// clusterParts is what the cluster needs.
+// clusterParts lets dig fill in the collaborators.
 type clusterParts struct {
 	dig.In
 
+	Settings *settings.Settings
+	Self     lease.Holder
 	Roster   *instance.Roster
 	List     platform.InstanceList
 	Reader   *configlog.Reader
 	Ledger   *contract.Ledger
+	Catalog  *service.Catalog
+	Broker   *coldstart.Broker
+	Crashes  *contract.Fingerprints
 	Applier  *applier
 	Standing *standing
-	Logger   zerolog.Logger
 	Mail     *mail
+	Logger   zerolog.Logger
 }
 
 func newCluster(p clusterParts) *cluster {
+	table := instance.NewTable(0, nil)
 	return &cluster{
-		roster: p.Roster, list: p.List, reader: p.Reader, ledger: p.Ledger, applier: p.Applier,
-		standing: p.Standing, logger: p.Logger, mail: p.Mail, listings: make(chan platform.Listing),
+		collaborators: collaborators{
+			Settings: p.Settings, Self: p.Self, Roster: p.Roster, List: p.List, Reader: p.Reader, Ledger: p.Ledger,
+			Catalog: p.Catalog, Broker: p.Broker, Crashes: p.Crashes, Applier: p.Applier, Standing: p.Standing,
+			Mail: p.Mail, Logger: p.Logger,
+		},
+		listings: make(chan platform.Listing),
+		inbox:    make(chan func(time.Time), inboxSize),
+		loads:    instance.NewLoads(table),
+		table:    table,
+		told:     map[string]notice{},
+		sentTo:   map[string]uint64{},
+	}
+}
+
+// open makes the mesh. It comes before run and before the first request.
+func (c *cluster) open(ctx context.Context, listener net.Listener) error {
+	secret, err := c.Settings.Key()
+	if err != nil {
+		return err
+	}
+	key, err := peerwire.NewKey(secret)
+	if err != nil {
+		return err
 	}
+	c.mesh = peerwire.NewMesh(peerwire.Options{
+		Self: peerwire.Identity{
+			ID: c.Self.Instance, Incarnation: c.Self.Incarnation, Zone: c.Settings.Zone,
+			CallerAddress: c.Settings.Callers.Advertise, PeerAddress: c.Settings.Peers.Advertise,
+		},
+		Key: key, Listener: listener, Handler: &inbound{c}, Random: rand.Uint64,
+	})
+	c.Mail.open(ctx, c.mesh, c.Broker)
+	return nil
 }
 
 // run keeps the roster until the context ends.
-func (c *cluster) run(ctx context.Context, _ net.Listener) {
-	go c.pollList(ctx)
+func (c *cluster) run(ctx context.Context) {
+	defer c.Mail.group.Wait()
+	defer c.mesh.Close()
+	polled := make(chan struct{})
+	go func() { defer close(polled); c.pollList(ctx) }()
+	defer func() { <-polled }()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -72,8 +157,14 @@
 		case <-ctx.Done():
 			return
 		case listing := <-c.listings:
-			c.roster.Listed(time.Now(), listing)
-			c.applier.offerLeaving(leavingTargets(listing))
+			c.Roster.Listed(time.Now(), listing)
+			c.listed = leavingTargets(listing)
+			c.offerLeaving()
+		case name := <-c.Mail.leaving:
+			c.told[name] = notice{at: time.Now(), here: true}
+			c.offerLeaving()
+		case event := <-c.inbox:
+			event(time.Now())
 		case now := <-ticker.C:
 			c.tick(now)
 		}
@@ -81,83 +172,128 @@
 	}
 }
 
+// post hands an event of a peer to the cluster's goroutine without waiting.
+func (c *cluster) post(event func(now time.Time)) {
+	select {
+	case c.inbox <- event:
+	default:
+	}
+}
+
 func (c *cluster) tick(now time.Time) {
-	own := instance.Own{Epoch: c.ledger.Ticket(now).Epoch, Leaving: c.standing.Leaving()}
-	if state := c.reader.State(); state != nil {
+	own := instance.Own{Epoch: c.Ledger.Ticket(now).Epoch, Leaving: c.Standing.Leaving()}
+	if state := c.Reader.State(); state != nil {
 		own.ConfigVersion = state.Version
 	}
-	c.roster.Update(now, own)
-	c.roster.Tick(now)
-	if read := c.reader.LastRead(); !read.IsZero() {
-		c.standing.isolation.LogRead(read)
+	c.Roster.Update(now, own)
+	c.Roster.Tick(now)
+	if read := c.Reader.LastRead(); !read.IsZero() {
+		c.Standing.isolation.LogRead(read)
+	}
+	c.mesh.SetPeers(alive(c.Roster.View()))
+	if now.Sub(c.beatAt) >= instance.HeartbeatInterval-tickInterval/2 {
+		c.beatAt = now
+		c.beat(now)
 	}
 }
 
-func (c *cluster) publishMembers() {
-	view := c.roster.View()
-	members := &coldstart.Members{Ready: view.SelfListed && view.HeardAllListed}
-	for _, peer := range view.Peers {
-		if peer.State == instance.StateDead {
-			continue
+// beat sends a heartbeat and hands the peers' loads to the targets.
+func (c *cluster) beat(now time.Time) {
+	snapshot := c.Catalog.Snapshot()
+	if snapshot.State.Version != c.table.Version {
+		c.table = instance.NewTable(snapshot.State.Version, snapshot.TargetNames())
+		c.loads.SetTable(c.table)
+	}
+	c.loads.Tick(now)
+	beat := c.Roster.NextBeat(now)
+	beat.Loads = c.reporter.Next(now, c.table, c.ownLoads(now, snapshot))
+	if read := c.Reader.LastRead(); !read.IsZero() {
+		beat.LogAge = now.Sub(read)
+	}
+	if err := c.mesh.Beat(beat, c.Roster.Recipients(now, rand.Uint64())); err != nil {
+		c.Logger.Error().Str("event", "heartbeat_failed").Err(err).Msg("heartbeat could not be encoded")
+	}
+	changed := c.forgetNotices(now)
+	for name, sum := range c.loads.Sums().Targets {
+		if t := snapshot.Target(name); t != nil {
+			t.ReportPeers(now, float64(sum.InFlight))
 		}
-		holder := lease.Holder{Instance: peer.ID, Incarnation: peer.Incarnation}
-		members.Peers = append(members.Peers, holder)
-		if peer.State == instance.StateLive {
-			members.Live = append(members.Live, holder)
+		if _, known := c.told[name]; sum.Leaving > 0 && !known {
+			c.told[name] = notice{at: now}
+			changed = true
 		}
 	}
-	c.mail.members.Store(members)
+	if changed {
+		c.offerLeaving()
+	}
 }
 
-// pollList reads the instance list again and again.
-func (c *cluster) pollList(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
+func (c *cluster) forgetNotices(now time.Time) (changed bool) {
+	for name, n := range c.told {
+		if now.Sub(n.at) >= noticeLifetime {
+			delete(c.told, name)
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (c *cluster) ownLoads(now time.Time, snapshot *service.Snapshot) []instance.Load {
+	loads := make([]instance.Load, len(c.table.Names()))
+	for i, name := range c.table.Names() {
+		if n := c.told[name]; n.here && now.Sub(n.at) < noticeReport {
+			loads[i].State = target.StateLeaving
+			continue
+		}
+		if t := snapshot.Target(name); t != nil {
+			state, _ := t.State()
+			loads[i] = instance.Load{InFlight: uint16(t.InFlight()), State: state}
 		}
-		read, cancel := context.WithTimeout(ctx, listTimeout)
-		listing, err := c.list.List(read)
-		cancel()
-		if err != nil {
-			c.logger.Warn().Str("event", "instance_list_failed").Err(err).Msg("instance list failed")
-		} else {
-			select {
-			case c.listings <- listing:
-			case <-ctx.Done():
-				return
-			}
+	}
+	return loads
+}
+
+// offerLeaving hands over all targets that are known to leave.
+func (c *cluster) offerLeaving() {
+	names := make(map[string]bool, len(c.listed)+len(c.told))
+	for name := range c.listed {
+		names[name] = true
+	}
+	for name := range c.told {
+		names[name] = true
+	}
+	c.Applier.offerLeaving(names)
+}
+
+func alive(view *instance.Snapshot) []instance.Instance {
+	peers := make([]instance.Instance, 0, len(view.Peers))
+	for _, peer := range view.Peers {
+		if peer.State != instance.StateDead {
+			peers = append(peers, peer)
 		}
-		timer.Reset(listInterval)
 	}
+	return peers
 }
 
-func leavingTargets(listing platform.Listing) map[string]bool {
-	names := make(map[string]bool)
-	for _, member := range listing.Members {
-		if member.Kind == platform.KindTarget && member.Leaving {
-			names[member.ID] = true
+func (c *cluster) publishMembers() {
+	view := c.Roster.View()
+	members := &coldstart.Members{Ready: view.SelfListed && view.HeardAllListed}
+	for _, peer := range alive(view) {
+		holder := lease.Holder{Instance: peer.ID, Incarnation: peer.Incarnation}
+		members.Peers = append(members.Peers, holder)
+		if peer.State == instance.StateLive {
+			members.Live = append(members.Live, holder)
 		}
 	}
-	return names
+	c.Mail.members.Store(members)
 }
 
 // leave returns true if no other instance is open to callers.
 func (c *cluster) leave() (alone bool) {
-	for _, peer := range c.roster.View().Peers {
+	for _, peer := range c.Roster.View().Peers {
 		if peer.Open() {
 			return false
 		}
 	}
 	return true
 }
-
-// Forward implements httpapi.Forwarder.
-func (c *cluster) Forward(_ context.Context, terms *contract.Terms, _ *exchange.Request) contract.Answer {
-	return contract.Answer{Refusal: &contract.Refusal{
-		Outcome: contract.OutcomeUnknown, Reason: contract.ReasonOwnerLost, Owner: terms.Key.Ticket.Instance,
-	}}
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -73,6 +73,7 @@
 }
 
 func newDaemon(p parts) *Daemon {
+	p.Cluster.front = p.Front
 	return &Daemon{
 		settings: p.Settings, logger: p.Logger, tracing: p.Tracing, reader: p.Reader, applier: p.Applier,
 		links: p.Links, cluster: p.Cluster, front: p.Front, drain: p.Drain, standing: p.Standing,
@@ -109,7 +110,10 @@
 	// The parts run until the drain has ended, longer than ctx.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	d.start(work, peers)
+	if err := d.start(work, peers); err != nil {
+		_, _ = callers.Close(), peers.Close()
+		return err
+	}
 	server := httpapi.NewServer(d.drain.watch(d.front.Handler()))
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(callers) }()
@@ -117,21 +121,23 @@
 	ready(Ready{Instance: d.settings.Instance, Callers: callers.Addr().String(), Peers: peers.Addr().String()})
 	select {
 	case err := <-served:
-		stop()
-		d.wait()
+		d.wait(stop)
 		return fmt.Errorf("serve callers: %w", err)
 	case <-ctx.Done():
 	}
 	err = d.shutdown(server)
-	stop()
-	d.wait()
+	d.wait(stop)
 	return err
 }
 
-func (d *Daemon) start(ctx context.Context, peers net.Listener) {
+func (d *Daemon) start(ctx context.Context, peers net.Listener) error {
+	if err := d.cluster.open(ctx, peers); err != nil {
+		return fmt.Errorf("join the other instances: %w", err)
+	}
 	d.group.Go(func() { d.applier.run(ctx) })
 	d.group.Go(func() { d.reader.Run(ctx) })
-	d.group.Go(func() { d.cluster.run(ctx, peers) })
+	d.group.Go(func() { d.cluster.run(ctx) })
+	return nil
 }
 
 // shutdown leaves the directory, serves callers that still hold a response
@@ -147,8 +153,10 @@
 	return nil
 }
 
-func (d *Daemon) wait() {
+// wait ends the links first, because they use the connections to peers.
+func (d *Daemon) wait(stop context.CancelFunc) {
 	d.links.Close()
+	stop()
 	d.group.Wait()
 	flush, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
--- /dev/null
+++ b/daemon/inbound.go
@@ -0,0 +1,119 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"fulmarhoist.example/coldstart"
+	"fulmarhoist.example/config"
+	"fulmarhoist.example/configlog"
+	"fulmarhoist.example/contract"
+	"fulmarhoist.example/instance"
+	"fulmarhoist.example/lease"
+	"fulmarhoist.example/peerwire"
+)
+
+// inbound implements peerwire.Handler. Its methods are called from the
+// goroutines of the connections.
+type inbound struct {
+	*cluster
+}
+
+func holderOf(from peerwire.Identity) lease.Holder {
+	return lease.Holder{Instance: from.ID, Incarnation: from.Incarnation}
+}
+
+// Beat implements peerwire.Handler.
+func (h *inbound) Beat(from peerwire.Identity, beat instance.Beat) {
+	h.post(func(now time.Time) {
+		if before, known := h.Roster.View().Peer(from.ID); known && before.Incarnation != 0 && before.Incarnation != from.Incarnation {
+			// A new incarnation answers at the address of the old one, so the
+			// old process has ended.
+			h.Broker.Gone(lease.Holder{Instance: from.ID, Incarnation: before.Incarnation})
+		}
+		h.Standing.isolation.PeerHeard(now)
+		h.Roster.Heard(now, beat)
+		h.loads.Heard(now, beat)
+		h.passConfig(from.ID, beat.From.ConfigVersion)
+	})
+}
+
+// passConfig sends the configuration in force to a peer that is behind, once per
+// version and heartbeat.
+func (h *inbound) passConfig(id string, theirs uint64) {
+	snapshot := h.Reader.Snapshot()
+	if snapshot == nil || snapshot.State.Version <= theirs || h.Reader.State() == nil {
+		return
+	}
+	data, err := configlog.Encode(config.Checkpoint{State: snapshot.State, AsOf: snapshot.AsOf, WrittenAt: snapshot.CheckpointAt})
+	if err != nil {
+		h.Logger.Error().Str("event", "config_not_passed").Err(err).Msg("configuration could not be encoded")
+		return
+	}
+	// A message that is lost is sent again after the next heartbeat.
+	_ = h.mesh.Send(id, &peerwire.ConfigState{Version: snapshot.State.Version, State: data})
+}
+
+// ConfigState implements peerwire.Handler.
+func (h *inbound) ConfigState(from peerwire.Identity, m *peerwire.ConfigState) {
+	checkpoint, ok := configlog.Decode(m.State).(config.Checkpoint)
+	if !ok {
+		h.Logger.Warn().Str("event", "config_unreadable").Str("peer", from.ID).Msg("a peer sent a configuration that cannot be read")
+		return
+	}
+	h.Reader.Offer(config.Snapshot{State: checkpoint.State, AsOf: checkpoint.AsOf, CheckpointAt: checkpoint.WrittenAt})
+}
+
+// Forward implements peerwire.Handler.
+func (h *inbound) Forward(ctx context.Context, _ peerwire.Identity, m *peerwire.Forward) *peerwire.ForwardReply {
+	header := make(http.Header, len(m.Header))
+	for _, field := range m.Header {
+		header.Add(field.Name, field.Value)
+	}
+	answer := h.front.ServeForwarded(ctx, m.Method, m.URI, header, m.Body)
+	reply := &peerwire.ForwardReply{Outcome: contract.OutcomeAnswered, Status: answer.Status, Body: answer.Body}
+	if answer.BodyDropped {
+		reply.Reason = contract.ReasonAnswerNotKept
+	}
+	if refusal := answer.Refusal; refusal != nil {
+		reply.Outcome, reply.Reason = refusal.Outcome, refusal.Reason
+		reply.RetryAfter, reply.Owner = refusal.RetryAfter, refusal.Owner
+	}
+	for name, values := range answer.Header {
+		for _, value := range values {
+			reply.Header = append(reply.Header, peerwire.Field{Name: name, Value: value})
+		}
+	}
+	return reply
+}
+
+// ColdAsk implements peerwire.Handler.
+func (h *inbound) ColdAsk(from peerwire.Identity, m *peerwire.ColdAsk) *peerwire.ColdAnswer {
+	ask := coldstart.Ask{Target: m.Target, Round: m.Sequence, Generation: uint32(m.Generation)}
+	return &peerwire.ColdAnswer{Verdict: verdictOf(h.Broker.OnAsk(time.Now(), holderOf(from), ask)), Sequence: m.Sequence}
+}
+
+// ColdRelease implements peerwire.Handler.
+func (h *inbound) ColdRelease(from peerwire.Identity, m *peerwire.ColdRelease) {
+	h.Broker.OnRelease(holderOf(from), coldstart.Release{Target: m.Target, Round: m.Sequence})
+}
+
+// CrashReport implements peerwire.Handler.
+func (h *inbound) CrashReport(_ peerwire.Identity, m *peerwire.CrashReport) {
+	var fingerprint contract.Fingerprint
+	if copy(fingerprint[:], m.Fingerprint) == len(fingerprint) {
+		h.Crashes.Crashed(time.Now(), m.Target, fingerprint)
+	}
+}
+
+// Connected implements peerwire.Handler.
+func (h *inbound) Connected(peer peerwire.Identity) {
+	h.Logger.Info().Str("event", "peer_connected").Str("peer", peer.ID).Msg("peer connected")
+}
+
+// Broken implements peerwire.Handler.
+func (h *inbound) Broken(peer peerwire.Identity) {
+	h.Logger.Info().Str("event", "peer_broken").Str("peer", peer.ID).Msg("connection to a peer broke")
+	h.post(func(now time.Time) { h.Roster.ConnectionBroken(now, peer.ID, peer.Incarnation) })
+}
--- /dev/null
+++ b/daemon/list.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"fulmarhoist.example/platform"
+)
+
+// pollList reads the instance list again and again.
+func (c *cluster) pollList(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		read, cancel := context.WithTimeout(ctx, listTimeout)
+		listing, err := c.List.List(read)
+		cancel()
+		if err != nil {
+			c.Logger.Warn().Str("event", "instance_list_failed").Err(err).Msg("instance list failed")
+		} else {
+			select {
+			case c.listings <- listing:
+			case <-ctx.Done():
+				return
+			}
+		}
+		timer.Reset(listInterval)
+	}
+}
+
+func leavingTargets(listing platform.Listing) map[string]bool {
+	names := make(map[string]bool)
+	for _, member := range listing.Members {
+		if member.Kind == platform.KindTarget && member.Leaving {
+			names[member.ID] = true
+		}
+	}
+	return names
+}
--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -184,24 +184,32 @@
 		f.replay(ctx, w, a, entry)
 		return
 	}
+	response, refusal, attempts := f.runKeyed(ctx, a, entry, request)
+	if refusal != nil {
+		f.refuse(w, a, attempts, refusal)
+		return
+	}
+	f.Metrics.Settled(a.terms.Service, contract.OutcomeAnswered)
+	writeResponse(w, attempts, response)
+}
+
+// runKeyed runs the first copy of a keyed request and records its outcome.
+func (f *Front) runKeyed(ctx context.Context, a *accepted, entry *contract.Entry, request *exchange.Request) (*exchange.Response, *contract.Refusal, int) {
 	if f.Standing.Isolated() {
 		refusal := &contract.Refusal{Outcome: contract.OutcomeNotRun, Reason: contract.ReasonIsolated}
 		f.Ledger.Settle(a.terms.Key, entry, contract.Answer{Refusal: refusal})
-		f.refuse(w, a, 0, refusal)
-		return
+		return nil, refusal, 0
 	}
 	x := f.newExchange(a)
 	response, refusal := x.Run(context.WithoutCancel(ctx), request)
 	if refusal != nil {
 		f.Ledger.Settle(a.terms.Key, entry, contract.Answer{Refusal: refusal})
-		f.refuse(w, a, x.Contract.Attempts(), refusal)
-		return
+		return nil, refusal, x.Contract.Attempts()
 	}
 	f.Ledger.Settle(a.terms.Key, entry, contract.Answer{
 		Status: response.Status, Header: response.Header, Body: response.Body, BodyDropped: response.Rest != nil,
 	})
-	f.Metrics.Settled(a.terms.Service, contract.OutcomeAnswered)
-	writeResponse(w, x.Contract.Attempts(), response)
+	return response, nil, x.Contract.Attempts()
 }
 
 // serveUnopened handles a key that this instance may not run.
--- a/httpapi/write.go
+++ b/httpapi/write.go
@@ -64,7 +64,7 @@
 func writeNotKept(w http.ResponseWriter) {
 	writeBody(w, http.StatusGone, &RefusalBody{
 		Outcome: contract.OutcomeAnswered.String(),
-		Reason:  "answer-not-kept",
+		Reason:  string(contract.ReasonAnswerNotKept),
 		Detail:  "the request ran and was answered; the answer is too long to be kept",
 	})
 }
--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -130,6 +130,31 @@
 	}, SpecTimeout(time.Minute))
 })
 
+var _ = Describe("Several instances", func() {
+	// Guards against instances that cannot agree on who may send to a cold server
+	// that bears one request, and against a key that is run by two instances.
+	It("share cold servers and serve a key at its owner", func(ctx SpecContext) {
+		f := startFleet(ctx, fleet.Plan{
+			Zones: []string{"az-1", "az-2", "az-3"}, Instances: 3, Services: []fleet.ServicePlan{orders(6)},
+		})
+		client := newCaller(f)
+		for i := range 60 {
+			request := caller.Request{Service: "orders", Class: "status", Idempotent: true, Path: "/status/1"}
+			if i%2 == 1 {
+				request = caller.Request{Service: "orders", Class: "reorder", Method: http.MethodPost, Path: "/orders/1"}
+			}
+			response, err := client.Do(ctx, request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Status).To(Equal(http.StatusOK))
+		}
+		for _, t := range f.Targets {
+			journal, err := t.Control.Journal(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(journal.Counters.OverloadsWhileCold).To(BeZero(), t.Name)
+		}
+	}, SpecTimeout(time.Minute))
+})
+
 func get(ctx context.Context, url string) string {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	Expect(err).NotTo(HaveOccurred())
--- a/service/catalog.go
+++ b/service/catalog.go
@@ -40,6 +40,21 @@
 	return nil
 }
 
+// TargetNames returns the names of all configured targets, also of those that
+// get no work, so that instances with one configuration list the same ones.
+func (s *Snapshot) TargetNames() []string {
+	if s.State.Config == nil {
+		return nil
+	}
+	var names []string
+	for i := range s.State.Config.Services {
+		for _, t := range s.State.Config.Services[i].Targets {
+			names = append(names, t.Name)
+		}
+	}
+	return names
+}
+
 // LongestDeadline returns the longest time that a request may run on a target.
 func (s *Snapshot) LongestDeadline(name string) time.Duration {
 	var longest time.Duration
