target: discount the load of peers over a longer time

Cause: with a half-life of 200 ms the averaged load lost a third between two reports 100 ms apart, and most of it between heartbeats 500 ms apart.

Change: a half-life of 1 s.

--- a/target/target.go
+++ b/target/target.go
@@ -189,7 +189,7 @@
 	maxBackoff   = 5 * time.Second
 	// peerLoadHalfLife discounts the load that peers reported: reports are
 	// already stale when they arrive.
-	peerLoadHalfLife = 200 * time.Millisecond
+	peerLoadHalfLife = time.Second
 	// peerAverageHalfLife is the time in which the weight of a report in the
 	// average of reports halves. It is several times the age of a report.
 	peerAverageHalfLife = 700 * time.Millisecond
