Find fresh links after a silent one, and count only unanswered requests as crashing

Cause: (1) after one silent connection a request met the next one, spent its retries and ended as unknown; (2) a target that answered with 'Connection: close' while draining looked as if the request had taken it down, and a drained request was refused as crashing; (3) the end of a back-off released no permit, so requests that waited for it were not woken. Ruled out for (1): the retry budget alone; the first request met three silent targets within its own allowance. Change: a request that met silence uses only links that have worked since; a crash counts a request only while no byte of its answer has arrived; waiting requests look again every 25 ms.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"fulmarhoist.example/contract"
+	"fulmarhoist.example/link"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/target"
 )
@@ -63,7 +64,8 @@
 	Tracer   trace.Tracer
 	Observer Observer
 
-	tried service.Tried
+	tried  service.Tried
+	silent time.Time // when an attempt began that met a silent connection
 }
 
 // Run sends the request until it is answered or the contract refuses another
@@ -166,6 +168,9 @@
 	if err != nil {
 		return target.Permit{}, x.Contract.Refuse(queueReason(err))
 	}
+	// The end of a target's back-off releases no permit and wakes nobody.
+	recheck := time.NewTicker(recheckInterval)
+	defer recheck.Stop()
 	for {
 		select {
 		case <-waiter.Ready():
@@ -177,6 +182,11 @@
 				return permit, nil
 			}
 			queue.Rejoin(waiter)
+		case <-recheck.C:
+			if permit, ok := x.choose(); ok {
+				queue.Leave(waiter)
+				return permit, nil
+			}
 		case <-ctx.Done():
 			queue.Leave(waiter)
 			return target.Permit{}, x.Contract.Refuse(contextReason(ctx))
@@ -184,6 +194,9 @@
 	}
 }
 
+// recheckInterval is how often a waiting request looks for a target by itself.
+const recheckInterval = 25 * time.Millisecond
+
 func queueReason(err error) contract.Reason {
 	var late *service.LateError
 	if errors.As(err, &late) {
@@ -209,7 +222,7 @@
 		pause(ctx, linkPause)
 		return nil, nil, true
 	}
-	taken := set.Take()
+	taken := x.take(set)
 	if taken == nil {
 		x.release(permit)
 		x.tried = append(x.tried, chosen)
@@ -246,6 +259,14 @@
 	return nil, refusal, refusal == nil
 }
 
+// take avoids links that may have gone silent with another one.
+func (x *Exchange) take(set *link.Set) *link.Link {
+	if x.silent.IsZero() {
+		return set.Take()
+	}
+	return set.TakeFresh(x.silent)
+}
+
 // pause waits, or returns when the context ends.
 func pause(ctx context.Context, length time.Duration) {
 	timer := time.NewTimer(length)
--- a/exchange/sending.go
+++ b/exchange/sending.go
@@ -53,6 +53,9 @@
 	answer, sent, err := s.link.Send(out)
 	if err != nil {
 		canceled := watch.end()
+		if watch.silent.Load() {
+			s.x.silent = s.began
+		}
 		return nil, s.failed(sent, canceled), fmt.Errorf("send to target %s: %w", s.permit.Target.Spec.Name, err)
 	}
 	answer.Body = watch.body(answer.Body)
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -40,6 +40,7 @@
 	timer    *time.Timer
 	asking   chan struct{} // closed when the question has been settled; nil if there is none
 	canceled atomic.Bool
+	silent   atomic.Bool // the attempt was ended because nothing came
 }
 
 func (s *sending) watch(ctx context.Context, attemptID string) *watch {
@@ -47,7 +48,10 @@
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	if s.x.Contract.Terms.Idempotent {
 		w.limit = max(leastSilence, silenceFactor*s.permit.Target.ExpectedDelay(s.began))
-		w.timer = time.AfterFunc(w.limit, w.cancel)
+		w.timer = time.AfterFunc(w.limit, func() {
+			w.silent.Store(true)
+			w.cancel()
+		})
 		return w
 	}
 	left := time.Until(s.x.Contract.Terms.Deadline)
--- a/link/link.go
+++ b/link/link.go
@@ -58,7 +58,8 @@
 	conn      *observedConn
 	transport *http.Transport
 	trusted   atomic.Bool
-	work      atomic.Pointer[Work]
+	work      atomic.Pointer[carried]
+	provedAt  atomic.Int64 // when the connection was last known to work, Unix nanoseconds
 }
 
 // Work is a request on a link. Fingerprint is called only if the connection
@@ -67,8 +68,31 @@
 	Fingerprint func() contract.Fingerprint
 }
 
+// carried is work with the reads on the connection before it.
+type carried struct {
+	*Work
+	reads int64
+}
+
 // Carry records the request that is on the link; nil when it has ended.
-func (l *Link) Carry(work *Work) { l.work.Store(work) }
+func (l *Link) Carry(work *Work) {
+	if work == nil {
+		l.work.Store(nil)
+		return
+	}
+	l.work.Store(&carried{work, l.conn.reads.Load()})
+}
+
+// unanswered returns the work for which no byte of an answer has arrived.
+func (l *Link) unanswered() *Work {
+	if c := l.work.Load(); c != nil && l.conn.reads.Load() == c.reads {
+		return c.Work
+	}
+	return nil
+}
+
+// fresh tells whether the connection has worked since the given time.
+func (l *Link) fresh(since time.Time) bool { return l.provedAt.Load() > since.UnixNano() }
 
 // Open connects to the address. The function broken is called once, from any
 // goroutine, when the connection has ended for any reason.
@@ -79,6 +103,7 @@
 		return nil, &DialError{Address: address, Err: err}
 	}
 	l := &Link{Opened: time.Now(), Generation: generation, address: address}
+	l.provedAt.Store(l.Opened.UnixNano())
 	l.conn = &observedConn{Conn: raw, ended: func() { broken(l) }, first: make(chan firstRead, 1)}
 	go l.conn.watch()
 	var taken atomic.Bool
@@ -127,6 +152,7 @@
 type observedConn struct {
 	net.Conn
 	writes atomic.Int64
+	reads  atomic.Int64 // reads that returned bytes
 	closed atomic.Bool
 	once   sync.Once
 	ended  func()
@@ -146,6 +172,7 @@
 func (c *observedConn) watch() {
 	var data [1]byte
 	n, err := c.Conn.Read(data[:])
+	c.reads.Add(int64(n))
 	if err != nil {
 		c.end()
 	}
@@ -169,6 +196,9 @@
 		return first.n, first.err
 	}
 	n, err := c.Conn.Read(data)
+	if n > 0 {
+		c.reads.Add(1)
+	}
 	if err != nil {
 		c.end()
 	}
--- a/link/set.go
+++ b/link/set.go
@@ -115,6 +115,20 @@
 	}
 }
 
+// TakeFresh returns an idle trusted link that has worked since the given time.
+// It closes the other idle links: when one connection has gone silent, those that
+// were unused since then may have too, and a request would find out only by
+// waiting. The owner opens new ones.
+func (s *Set) TakeFresh(since time.Time) *Link {
+	for {
+		l := s.Take()
+		if l == nil || l.fresh(since) {
+			return l
+		}
+		l.Close()
+	}
+}
+
 // Put returns a link after its response was read to the end.
 func (s *Set) Put(l *Link) {
 	s.mu.Lock()
@@ -139,6 +153,7 @@
 // Answered records an answer on a trusted link to a request sent at the given
 // time, and trusts the links that were established before that.
 func (s *Set) Answered(l *Link, sent time.Time) {
+	l.provedAt.Store(time.Now().UnixNano())
 	s.prove(sent)
 	s.mu.Lock()
 	if len(s.waiting) == 0 || !l.trusted.Load() {
@@ -205,7 +220,7 @@
 	s.mu.Lock()
 	_, known := s.open[l]
 	delete(s.open, l)
-	if work := l.work.Load(); work != nil {
+	if work := l.unanswered(); work != nil {
 		s.lost = append(s.lost, lostWork{now, work})
 	}
 	var dropped []*Link
