--- a/contract/ledger.go
+++ b/contract/ledger.go
@@ -19,7 +19,7 @@
 	MaxAnswerBytes = 64 << 10
 	// MaxLedgerBytes bounds the answers kept by one ledger. Beyond it the
 	// outcome and the status are kept without body and headers.
-	MaxLedgerBytes = 64 << 20
+	MaxLedgerBytes = 8 << 20
 )
 
 // Answer is the recorded end of a request.
--- a/service/policy_test.go
+++ b/service/policy_test.go
@@ -71,7 +71,7 @@
 		Expect(one.Admits(now.Add(49 * time.Millisecond))).To(BeFalse())
 		Expect(one.Admits(now.Add(50 * time.Millisecond))).To(BeTrue())
 		one.Failed(now.Add(50 * time.Millisecond))
-		Expect(one.Admits(now.Add(149 * time.Millisecond))).To(BeFalse(), "the second pause is longer")
+		Expect(one.Admits(now.Add(149*time.Millisecond))).To(BeFalse(), "the second pause is longer")
 		Expect(one.Admits(now.Add(150 * time.Millisecond))).To(BeTrue())
 	})
 
