--- a/peerwire/conn.go
+++ b/peerwire/conn.go
@@ -41,7 +41,7 @@
 	queued  atomic.Int64
 	done    chan struct{}
 	close   sync.Once
-	onClose atomic.Pointer[time.Timer]
+	retired chan struct{} // asks the writer to finish after retireAfter
 
 	// lastWrite and unanswered are nanoseconds since opened. Unanswered is when
 	// the first frame that calls for an answer was written after the last one
@@ -61,6 +61,7 @@
 	return &Conn{
 		Peer: peer, nc: nc, dialer: dialer, opened: time.Now(), count: count,
 		queue: make(chan []byte, queueFrames), done: make(chan struct{}),
+		retired: make(chan struct{}, 1),
 		pending: map[uint64]chan reply{},
 	}
 }
@@ -70,9 +71,6 @@
 	c.close.Do(func() {
 		close(c.done)
 		_ = c.nc.Close()
-		if timer := c.onClose.Load(); timer != nil {
-			timer.Stop()
-		}
 	})
 }
 
@@ -84,13 +82,13 @@
 	}
 }
 
-// retire finishes the connection later, so that replies under way arrive.
-func (c *Conn) retire(after time.Duration) {
+// retire finishes the connection after retireAfter, so that replies under way
+// arrive.
+func (c *Conn) retire() {
 	c.onPurpose.Store(true)
-	timer := time.AfterFunc(after, c.finish)
-	c.onClose.Store(timer)
-	if c.closed() {
-		timer.Stop()
+	select {
+	case c.retired <- struct{}{}:
+	default:
 	}
 }
 
@@ -253,10 +251,15 @@
 func (c *Conn) write() {
 	defer c.Close()
 	out := bufio.NewWriterSize(c.nc, ioBuffer)
+	var end <-chan time.Time
 	for {
 		select {
 		case <-c.done:
 			return
+		case <-c.retired:
+			end = time.After(retireAfter)
+		case <-end:
+			c.finish()
 		case frame := <-c.queue:
 			if !c.writeBatch(out, frame) {
 				return
@@ -268,6 +271,7 @@
 // writeBatch writes a frame and those behind it and tells whether to go on.
 func (c *Conn) writeBatch(out *bufio.Writer, frame []byte) bool {
 	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+	defer func() { _ = c.nc.SetWriteDeadline(time.Time{}) }()
 	calls := false
 	for {
 		if frame == nil {
--- a/peerwire/mesh_test.go
+++ b/peerwire/mesh_test.go
@@ -176,12 +176,13 @@
 		}()
 		<-running
 		start := time.Now()
-		b.mesh.Close()
+		n.each(func(w *wire) { _ = w.Close() })
 		var lost *peerwire.LostError
 		g.Expect(errors.As(<-failed, &lost)).To(BeTrue())
 		g.Expect(time.Since(start)).To(BeZero())
 		synctest.Wait()
 		g.Expect(a.broken.Load()).To(Equal(int64(1)))
+		b.mesh.Close()
 		_, err := a.mesh.Forward(context.Background(), "entry-2", &peerwire.Forward{Method: "POST"})
 		var none *peerwire.NoConnectionError
 		g.Expect(errors.As(err, &none)).To(BeTrue(), "%v", err)
--- a/peerwire/peer.go
+++ b/peerwire/peer.go
@@ -278,14 +278,14 @@
 	m.mu.Unlock()
 	switch {
 	case keepOld:
-		c.retire(retireAfter)
+		c.retire()
 	case old != nil && old.Peer.Incarnation != c.Peer.Incarnation:
 		old.Close()
-	case old != nil && purpose == PurposeReplace:
+	case old != nil && replacesSilent(old, purpose):
 		m.count.replaced.Add(1)
 		old.Close()
 	case old != nil:
-		old.retire(retireAfter)
+		old.retire()
 	}
 	p.tried(nil)
 	if !keepOld {
@@ -301,10 +301,13 @@
 	if old.Peer.Incarnation != c.Peer.Incarnation || old.dialer == c.dialer {
 		return false
 	}
-	if purpose == PurposeReplace && old.sinceOpened() >= SilentAfter {
-		return false
-	}
-	return old.dialer < c.dialer
+	return !replacesSilent(old, purpose) && old.dialer < c.dialer
+}
+
+// replacesSilent tells whether the current connection is the one that a peer
+// found silent. A younger one is the peer's or this side's replacement for it.
+func replacesSilent(old *Conn, purpose Purpose) bool {
+	return purpose == PurposeReplace && old.sinceOpened() >= SilentAfter
 }
 
 // entry returns the peer of a connection and adds it if the roster has not named
