--- a/instance/roster_test.go
+++ b/instance/roster_test.go
@@ -91,6 +91,22 @@
 		Expect(seen().State).To(Equal(instance.StateDead))
 	})
 
+	// Guards against a false suspicion that stays where its subject is not heard.
+	It("contradicts a suspicion that is older than its own knowledge", func() {
+		roster.Heard(start, peer(7, 12))
+		for range 21 { // until the news of the peer itself has been passed on
+			roster.NextBeat(start)
+		}
+		old := peer(7, 11).From
+		old.State = instance.StateSuspected
+		roster.Heard(start, instance.Beat{
+			From:   instance.Instance{ID: "entry-3", Incarnation: 3, Sequence: 1, PeerAddress: "p3"},
+			Deltas: []instance.Instance{old},
+		})
+		Expect(roster.NextBeat(start).Deltas).To(ContainElement(And(
+			HaveField("ID", "entry-2"), HaveField("State", instance.StateLive), HaveField("Sequence", uint64(12)))))
+	})
+
 	// Guards against keeping an unreachable peer for ever when its connection
 	// never reports an error.
 	It("declares a dropped peer dead after 10 s of silence", func() {
--- /dev/null
+++ b/peerwire/stats.go
@@ -0,0 +1,32 @@
+package peerwire
+
+import "sync/atomic"
+
+// Stats counts what a Mesh has done since its start.
+type Stats struct {
+	FramesSent, BytesSent         uint64 // bytes include the frame lengths
+	FramesReceived, BytesReceived uint64
+	Overflows                     uint64 // messages refused because a queue was full
+	Opened                        uint64 // connections after a handshake
+	Broken                        uint64 // connections that ended without a close on purpose
+	Replaced                      uint64 // silent connections that were replaced
+	Refused                       uint64 // failed handshakes
+	Malformed                     uint64 // frames that ended a connection
+	Skipped                       uint64 // messages of unknown kinds
+}
+
+type counters struct {
+	framesSent, bytesSent, framesReceived, bytesReceived atomic.Uint64
+	overflows, opened, broken, replaced                  atomic.Uint64
+	refused, malformed, skipped                          atomic.Uint64
+}
+
+func (c *counters) stats() Stats {
+	return Stats{
+		FramesSent: c.framesSent.Load(), BytesSent: c.bytesSent.Load(),
+		FramesReceived: c.framesReceived.Load(), BytesReceived: c.bytesReceived.Load(),
+		Overflows: c.overflows.Load(), Opened: c.opened.Load(), Broken: c.broken.Load(),
+		Replaced: c.replaced.Load(), Refused: c.refused.Load(), Malformed: c.malformed.Load(),
+		Skipped: c.skipped.Load(),
+	}
+}
