Add fulmarhoistctl config publish, show, history and diff

Cause: operators had no tool to publish a configuration or to learn what became of it. Change: config publish reads its record back from the log, then asks every instance of the directory for its version until the deadline. A rejected publication names the version that won and the fields that both changed. A publication with an old base is rejected without an append. Exit code 3 now also means that the log service could not be reached; it is given only if nothing was changed. status and the wait share the health call.

--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"fulmarhoist.example/caller"
+	"fulmarhoist.example/config"
+	"fulmarhoist.example/platform"
 )
 
 // ExitCode is the exit code of the process.
@@ -48,9 +50,11 @@
 	switch {
 	case err == nil:
 		return ExitOK
-	case isA[*UsageError](err), isA[*FlagError](err), isA[*caller.OptionError](err), isA[*caller.RequestError](err):
+	case isA[*UsageError](err), isA[*FlagError](err), isA[*caller.OptionError](err), isA[*caller.RequestError](err),
+		isA[*config.InvalidError](err):
 		return ExitUsage
-	case isA[*NoInstanceError](err), isA[*caller.UnreachableError](err), isA[*caller.DirectoryError](err):
+	case isA[*NoInstanceError](err), isA[*caller.UnreachableError](err), isA[*caller.DirectoryError](err),
+		isA[*platform.UnavailableError](err):
 		return ExitUnreachable
 	default:
 		return ExitBadResult
--- /dev/null
+++ b/internal/ctl/publish.go
@@ -0,0 +1,252 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"fulmarhoist.example/config"
+	"fulmarhoist.example/configlog"
+)
+
+// publishFlags holds the flags of all commands that change the configuration.
+type publishFlags struct {
+	log        logFlags
+	connection connection
+	wait       bool
+}
+
+func (f *publishFlags) register(flags *pflag.FlagSet) {
+	f.log.register(flags)
+	f.connection.register(flags)
+	flags.BoolVar(&f.wait, "wait", true, "wait until all instances have confirmed the version")
+}
+
+// open checks the flags before anything is sent.
+func (f *publishFlags) open(ctx context.Context) (context.Context, *logSession, error) {
+	if f.wait {
+		if len(f.connection.instances) == 0 {
+			return nil, nil, &FlagError{"--instance", "is required to see the version in force; or use --wait=false"}
+		}
+	}
+	if len(f.connection.instances) > 0 {
+		client, err := f.connection.client(0)
+		if err != nil {
+			return nil, nil, err
+		}
+		client.Close()
+	}
+	return f.log.open(ctx)
+}
+
+// outcomeUnchanged means that the configuration in force is the wanted one.
+const outcomeUnchanged configlog.Outcome = "unchanged"
+
+// publishResult is the result of a change as JSON.
+type publishResult struct {
+	Outcome configlog.Outcome `json:"outcome"`
+	ID      string            `json:"id,omitempty"`
+	Base    uint64            `json:"base"`
+	Version uint64            `json:"version"` // accepted version, or the one in force
+	Reason  config.Reason     `json:"reason,omitempty"`
+	Detail  string            `json:"detail,omitempty"`
+	Changes []config.Change   `json:"changes"`
+	// Attempts is 2 if another operator's change won the first time.
+	Attempts int     `json:"attempts"`
+	Winner   *winner `json:"winner,omitempty"`
+	Clashes  []clash `json:"clashes,omitempty"`
+	// InForce is absent if the command did not wait.
+	InForce   *bool             `json:"in_force,omitempty"`
+	Instances []instanceVersion `json:"instances,omitempty"`
+	WaitError string            `json:"wait_error,omitempty"`
+}
+
+// winner is the version that was accepted instead of a rejected publication.
+type winner struct {
+	Version uint64 `json:"version"`
+	ID      string `json:"id"`
+	// Changes are those since the base of the rejected publication. They are
+	// unknown if the log no longer holds that base.
+	Changes []config.Change `json:"changes,omitempty"`
+}
+
+// change is a configuration to publish.
+type change struct {
+	base     uint64
+	proposed *config.Configuration
+}
+
+// publish proposes a change to the order that the history tells, and reads back
+// what became of it. An error means that nothing was stored.
+func (s *logSession) publish(ctx context.Context, h *history, c change) (*publishResult, error) {
+	inForce := h.state()
+	result := &publishResult{Base: c.base, Version: inForce.Version, Attempts: 1, Changes: []config.Change{}}
+	before, known := h.configuration(c.base)
+	if known {
+		result.Changes = append(result.Changes, config.Diff(before, c.proposed)...)
+	}
+	if c.base > inForce.Version {
+		return nil, &FlagError{"base version", fmt.Sprintf("%d does not exist; the newest is %d", c.base, inForce.Version)}
+	}
+	if c.base < inForce.Version {
+		// It would be rejected by every reader, so it is not appended.
+		result.Outcome, result.Reason = configlog.OutcomeRejected, config.ReasonStaleBase
+		result.Detail = fmt.Sprintf("it is based on version %d, and version %d is in force", c.base, inForce.Version)
+		result.lost(h)
+		return result, nil
+	}
+	if len(result.Changes) == 0 && inForce.Version > 0 {
+		result.Outcome = outcomeUnchanged
+		return result, nil
+	}
+	publication := config.Publication{ID: newPublicationID(), Base: c.base, Config: c.proposed}
+	read, err := s.publisher.Publish(ctx, publication, h.basis())
+	if err != nil {
+		return nil, fmt.Errorf("nothing was published: %w", err)
+	}
+	result.Outcome, result.ID, result.Reason, result.Detail = read.Outcome, publication.ID, read.Reason, read.Detail
+	if read.Outcome != configlog.OutcomeUncertain {
+		result.Version = read.Version
+	}
+	if read.Outcome == configlog.OutcomeRejected {
+		after, err := s.current(ctx)
+		if err != nil {
+			result.Detail += "; the clashing fields are unknown: " + err.Error()
+			return result, nil
+		}
+		result.lost(after)
+	}
+	return result, nil
+}
+
+// lost fills in which version won and which fields clash.
+func (r *publishResult) lost(h *history) {
+	state := h.state()
+	r.Winner = &winner{Version: state.Version, ID: state.ID}
+	if before, known := h.configuration(r.Base); known {
+		r.Winner.Changes = config.Diff(before, state.Config)
+		r.Clashes = clashes(r.Changes, r.Winner.Changes)
+	}
+}
+
+// report prints the result, waits for the version if that was asked for, and
+// returns the error that gives the exit code.
+func (a *app) report(ctx context.Context, f *publishFlags, r *publishResult) error {
+	decided := r.Outcome == configlog.OutcomeAccepted || r.Outcome == outcomeUnchanged
+	if a.output == outputTable {
+		if err := a.printOutcome(r); err != nil {
+			return err
+		}
+	}
+	if decided && f.wait {
+		began := time.Now()
+		r.await(ctx, &f.connection)
+		if a.output == outputTable {
+			if err := a.printInForce(r, time.Since(began)); err != nil {
+				return err
+			}
+		}
+	}
+	if a.output == outputJSON {
+		if err := printJSON(a.streams.Out, r); err != nil {
+			return err
+		}
+	}
+	return r.judge()
+}
+
+// await waits until all instances have confirmed the version.
+func (r *publishResult) await(ctx context.Context, c *connection) {
+	confirm := newConfirmation(c, r.Version)
+	done := confirm.wait(ctx)
+	r.InForce, r.Instances = &done, confirm.list()
+	if confirm.failure != nil {
+		r.WaitError = confirm.failure.Error()
+	}
+}
+
+// judge returns nil if the change was accepted and, if the command waited, is in
+// force. After an append, no failure may look like "nothing was changed".
+func (r *publishResult) judge() error {
+	switch {
+	case r.Outcome == configlog.OutcomeRejected && r.Winner != nil:
+		return &ResultError{fmt.Sprintf("rejected: version %d (%s) won", r.Winner.Version, r.Winner.ID)}
+	case r.Outcome == configlog.OutcomeRejected:
+		return &ResultError{"rejected: " + r.Detail}
+	case r.Outcome == configlog.OutcomeUncertain:
+		return &ResultError{fmt.Sprintf("it is uncertain whether %s was stored; config history shows it", r.ID)}
+	case r.InForce != nil && !*r.InForce && len(r.Instances) == 0:
+		return &ResultError{fmt.Sprintf("version %d is accepted, and no instance could be asked whether it is in force", r.Version)}
+	case r.InForce != nil && !*r.InForce:
+		return &ResultError{fmt.Sprintf("version %d is accepted, and %d of %d instances have not confirmed it",
+			r.Version, r.unconfirmed(), len(r.Instances))}
+	}
+	return nil
+}
+
+func (r *publishResult) unconfirmed() (n int) {
+	for _, i := range r.Instances {
+		if !i.Confirmed {
+			n++
+		}
+	}
+	return n
+}
+
+func (a *app) printOutcome(r *publishResult) error {
+	var rows [][]string
+	switch r.Outcome {
+	case configlog.OutcomeAccepted:
+		rows = append(rows, []string{"result", fmt.Sprintf("accepted as version %d (%s)", r.Version, r.ID)})
+		if r.Attempts > 1 {
+			rows = append(rows, []string{"note", "another operator's change won the first time; this one was made again on top of it"})
+		}
+	case outcomeUnchanged:
+		rows = append(rows, []string{"result", fmt.Sprintf("nothing to change; version %d is like this already", r.Version)})
+	case configlog.OutcomeRejected:
+		rows = append(rows, []string{"result", "rejected: " + r.Detail})
+	case configlog.OutcomeUncertain:
+		rows = append(rows, []string{"result", fmt.Sprintf("uncertain: %s; the publication is %s", r.Detail, r.ID)},
+			[]string{"note", "a second publication on the same base is safe: at most one of the two is accepted"})
+	}
+	for _, c := range r.Changes {
+		rows = append(rows, []string{"change", c.String()})
+	}
+	if r.Winner != nil {
+		rows = append(rows, []string{"won", fmt.Sprintf("version %d (%s)", r.Winner.Version, r.Winner.ID)})
+		for _, c := range r.Winner.Changes {
+			rows = append(rows, []string{"their change", c.String()})
+		}
+	}
+	for _, c := range r.Clashes {
+		rows = append(rows, []string{"clash", fmt.Sprintf("%s: %s here, %s there", c.Path, c.Mine, c.Theirs)})
+	}
+	return printTable(a.streams.Out, rows)
+}
+
+func (a *app) printInForce(r *publishResult, took time.Duration) error {
+	if *r.InForce {
+		return printTable(a.streams.Out, [][]string{{"in force everywhere", fmt.Sprintf("%d instances, after %.3f s",
+			len(r.Instances), took.Seconds())}})
+	}
+	rows := [][]string{{"NOT CONFIRMED", "ZONE", "ADDRESS", "VERSION", "DETAIL"}}
+	for _, i := range r.Instances {
+		if !i.Confirmed {
+			rows = append(rows, []string{i.ID, i.Zone, i.Address, i.versionText(), i.Detail})
+		}
+	}
+	if r.WaitError != "" {
+		rows = append(rows, []string{"-", "-", "-", "-", "no directory: " + r.WaitError})
+	}
+	return printTable(a.streams.Out, rows)
+}
+
+func (i *instanceVersion) versionText() string {
+	if i.Version == nil {
+		return "unknown"
+	}
+	return strconv.FormatUint(*i.Version, 10)
+}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -16,13 +16,14 @@
 	Err io.Writer
 }
 
-const rootHelp = `fulmarhoistctl sends requests through fulmarhoist and shows its state.
+const rootHelp = `fulmarhoistctl sends requests through fulmarhoist, shows its state and changes
+its configuration.
 
 Exit codes:
   0  the command ran and the result is good
   1  the command ran and the result is bad
   2  usage or settings are wrong
-  3  no instance could be reached`
+  3  no instance, or the log service, could not be reached; nothing was changed`
 
 // app is one run of the tool.
 type app struct {
@@ -62,10 +63,34 @@
 	root.PersistentFlags().Var(&a.output, "output", "output format: table or json")
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(
 		[]string{string(outputTable), string(outputJSON)}, cobra.ShellCompDirectiveNoFileComp))
-	root.AddCommand(a.sendCommand(), a.statusCommand(), a.loadCommand())
+	root.AddCommand(a.sendCommand(), a.statusCommand(), a.loadCommand(),
+		a.configCommand())
 	return root
 }
 
+// group returns a command that only holds others.
+func group(name, short string, commands ...*cobra.Command) *cobra.Command {
+	parent := &cobra.Command{
+		Use:   name,
+		Short: short,
+		Args:  cobra.NoArgs,
+		// Without this, an unknown subcommand would show the help and succeed.
+		RunE: func(*cobra.Command, []string) error {
+			return &FlagError{name, "needs a subcommand; see --help"}
+		},
+	}
+	parent.AddCommand(commands...)
+	return parent
+}
+
+// runningWith is running for commands that take arguments.
+func (a *app) runningWith(run func(ctx context.Context, arguments []string) error) func(*cobra.Command, []string) error {
+	return func(command *cobra.Command, arguments []string) error {
+		a.started = true
+		return run(command.Context(), arguments)
+	}
+}
+
 // running marks the end of the checks of usage before a command runs.
 func (a *app) running(run func(ctx context.Context) error) func(*cobra.Command, []string) error {
 	return func(command *cobra.Command, _ []string) error {
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -102,36 +101,22 @@
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	began := time.Now()
-	code, detail, err := getHealth(ctx, instance.Address)
+	answer, err := getHealth(ctx, instance.Address)
 	row.LatencyMS = float64(time.Since(began).Microseconds()) / 1000
 	if err != nil {
 		row.Detail = err.Error()
 		return row
 	}
-	row.Status, row.Detail, row.State = code, detail, stateNotServing
-	if code == http.StatusOK {
+	row.Status, row.Detail, row.State = answer.status, answer.detail(), stateNotServing
+	if answer.status == http.StatusOK {
 		row.State = stateServing
 	}
 	return row
 }
 
-func getHealth(ctx context.Context, address string) (code int, detail string, err error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/fulmarhoist/v1/health", nil)
-	if err != nil {
-		return 0, "", fmt.Errorf("building the health request: %w", err)
-	}
-	// A connection of its own shows that the instance accepts new ones.
-	transport := &http.Transport{DisableKeepAlives: true}
-	response, err := transport.RoundTrip(request)
-	if err != nil {
-		return 0, "", err
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, healthDetailBytes))
-	if err != nil {
-		return 0, "", err
-	}
-	return response.StatusCode, strings.Join(strings.Fields(string(body)), " "), nil
+// detail is the start of the answer on one line.
+func (h *health) detail() string {
+	return strings.Join(strings.Fields(string(h.body[:min(len(h.body), healthDetailBytes)])), " ")
 }
 
 func (s *status) print(result *statusResult) error {
