--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -42,8 +42,13 @@
 	return f.log.open(ctx)
 }
 
-// outcomeUnchanged means that the configuration in force is the wanted one.
-const outcomeUnchanged configlog.Outcome = "unchanged"
+// Outcomes of a change that is not published.
+const (
+	// outcomeUnchanged means that the configuration in force is the wanted one.
+	outcomeUnchanged configlog.Outcome = "unchanged"
+	// outcomeRefused means that the rest could not bear today's load.
+	outcomeRefused configlog.Outcome = "refused"
+)
 
 // publishResult is the result of a change as JSON.
 type publishResult struct {
@@ -55,9 +60,10 @@
 	Detail  string            `json:"detail,omitempty"`
 	Changes []config.Change   `json:"changes"`
 	// Attempts is 2 if another operator's change won the first time.
-	Attempts int     `json:"attempts"`
-	Winner   *winner `json:"winner,omitempty"`
-	Clashes  []clash `json:"clashes,omitempty"`
+	Attempts int           `json:"attempts"`
+	Winner   *winner       `json:"winner,omitempty"`
+	Clashes  []clash       `json:"clashes,omitempty"`
+	Load     []serviceLoad `json:"load,omitempty"`
 	// InForce is absent if the command did not wait.
 	InForce   *bool             `json:"in_force,omitempty"`
 	Instances []instanceVersion `json:"instances,omitempty"`
@@ -117,6 +123,9 @@
 			result.Detail += "; the clashing fields are unknown: " + err.Error()
 			return result, nil
 		}
+		if known {
+			after.byVer[c.base] = config.State{Version: c.base, Config: before}
+		}
 		result.lost(after)
 	}
 	return result, nil
@@ -172,6 +181,8 @@
 // force. After an append, no failure may look like "nothing was changed".
 func (r *publishResult) judge() error {
 	switch {
+	case r.Outcome == outcomeRefused:
+		return &ResultError{"refused: " + r.Detail}
 	case r.Outcome == configlog.OutcomeRejected && r.Winner != nil:
 		return &ResultError{fmt.Sprintf("rejected: version %d (%s) won", r.Winner.Version, r.Winner.ID)}
 	case r.Outcome == configlog.OutcomeRejected:
@@ -198,7 +209,12 @@
 
 func (a *app) printOutcome(r *publishResult) error {
 	var rows [][]string
+	for _, l := range r.Load {
+		rows = append(rows, []string{"load", l.String()})
+	}
 	switch r.Outcome {
+	case outcomeRefused:
+		rows = append(rows, []string{"result", "refused: " + r.Detail})
 	case configlog.OutcomeAccepted:
 		rows = append(rows, []string{"result", fmt.Sprintf("accepted as version %d (%s)", r.Version, r.ID)})
 		if r.Attempts > 1 {
--- a/internal/ctl/zone.go
+++ b/internal/ctl/zone.go
@@ -1,11 +1,69 @@
 package ctl
 
 import (
+	"context"
+	"fmt"
 	"strconv"
 
+	"github.com/spf13/cobra"
+
 	"fulmarhoist.example/config"
 )
 
+func (a *app) zoneCommand() *cobra.Command {
+	return group("zone", "Take availability zones out of service and bring them back",
+		a.zoneAmendCommand(takeOut), a.zoneAmendCommand(bringIn), a.zoneListCommand())
+}
+
+func (a *app) zoneAmendCommand(d direction) *cobra.Command {
+	m := &amendment{app: a, direction: d}
+	m.apply = func(c *config.Configuration, name string) error {
+		zone, found := c.Zone(name)
+		if !found {
+			return &FlagError{"zone", fmt.Sprintf("%q is not in the configuration in force", name)}
+		}
+		zone.Out = d == takeOut
+		return nil
+	}
+	return m.command("availability zone")
+}
+
+// zoneLister holds the flags of the command zone list.
+type zoneLister struct {
+	app *app
+	log logFlags
+}
+
+func (a *app) zoneListCommand() *cobra.Command {
+	l := &zoneLister{app: a}
+	command := &cobra.Command{
+		Use:   "list --log-service URL",
+		Short: "List the availability zones with their state",
+		Long:  "List the availability zones of the configuration in force with their state.",
+		Args:  cobra.NoArgs,
+		RunE:  a.running(l.run),
+	}
+	l.log.register(command.Flags())
+	return command
+}
+
+// zonesResult is the result of zone list as JSON.
+type zonesResult struct {
+	Version uint64    `json:"version"`
+	Zones   []zoneRow `json:"zones"`
+}
+
+func (l *zoneLister) run(ctx context.Context) error {
+	state, err := l.log.state(ctx)
+	if err != nil {
+		return err
+	}
+	if l.app.output == outputJSON {
+		return printJSON(l.app.streams.Out, zonesResult{Version: state.Version, Zones: zoneList(state.Config)})
+	}
+	return printTable(l.app.streams.Out, zoneRows(state.Config))
+}
+
 // serving is what is in service of one service.
 type serving struct{ targets, slots int }
 
