--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -64,7 +64,7 @@
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(
 		[]string{string(outputTable), string(outputJSON)}, cobra.ShellCompDirectiveNoFileComp))
 	root.AddCommand(a.sendCommand(), a.statusCommand(), a.loadCommand(),
-		a.configCommand(), a.zoneCommand(), a.targetCommand())
+		a.questionnaireCommand(), a.configCommand(), a.zoneCommand(), a.targetCommand())
 	return root
 }
 
