ctl: ask the directories of all given instances

A given address that does not answer counts as not confirmed; one that refuses connections has no instance and is only noted.

--- a/internal/ctl/amend.go
+++ b/internal/ctl/amend.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
 
+	"fulmarhoist.example/caller"
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/configlog"
 )
@@ -33,8 +36,8 @@
 
 The exit code is 0 if the change, or an earlier one like it, is in force on all
 instances of the directory, 1 if it was refused or rejected, is uncertain, or was
-not confirmed by all before the deadline, 2 if there is no such %[1]s, and 3 if
-the log service or all instances could not be reached and nothing was changed.`
+not confirmed by all before the deadline, 2 if NAME is not known, and 3 if the
+log service or all instances could not be reached and nothing was changed.`
 
 const bringInHelp = `Bring %[1]s NAME back into service.
 
@@ -45,8 +48,8 @@
 
 The exit code is 0 if the change, or an earlier one like it, is in force on all
 instances of the directory, 1 if it was rejected, is uncertain, or was not
-confirmed by all before the deadline, 2 if there is no such %[1]s, and 3 if the
-log service could not be reached and nothing was changed.`
+confirmed by all before the deadline, 2 if NAME is not known, and 3 if the log
+service could not be reached and nothing was changed.`
 
 // amendment is a change of one mark in the configuration in force.
 type amendment struct {
@@ -60,13 +63,13 @@
 
 // command returns the command; the kind names what is amended.
 func (m *amendment) command(kind string) *cobra.Command {
-	verb, help := "Bring back", bringInHelp
+	short, help := "Bring %s NAME back into service", bringInHelp
 	if m.direction == takeOut {
-		verb, help = "Take out of service", takeOutHelp
+		short, help = "Take %s NAME out of service", takeOutHelp
 	}
 	command := &cobra.Command{
 		Use:   string(m.direction) + " NAME --log-service URL --instance HOST:PORT",
-		Short: verb + " the " + kind + " NAME",
+		Short: fmt.Sprintf(short, kind),
 		Long:  fmt.Sprintf(help, kind),
 		Args:  cobra.ExactArgs(1),
 		RunE:  m.app.runningWith(m.run),
@@ -146,11 +149,17 @@
 }
 
 func (m *amendment) load(ctx context.Context, before, after *config.Configuration) ([]serviceLoad, error) {
-	instances, err := m.flags.connection.fresh(ctx)
-	if err != nil {
-		return nil, fmt.Errorf("measuring today's load, which --force skips: %w", err)
+	found := m.flags.connection.survey(ctx)
+	if len(found.instances) == 0 {
+		return nil, fmt.Errorf("measuring today's load, which --force skips: %w", found.failure)
+	}
+	loads := measure(ctx, found.instances)
+	for _, address := range slices.Sorted(maps.Keys(found.silent)) {
+		if !slices.ContainsFunc(found.instances, func(i *caller.Instance) bool { return i.Address == address }) {
+			loads = append(loads, loadAt{instance: address})
+		}
 	}
-	return compare(before, after, measure(ctx, instances)), nil
+	return compare(before, after, loads), nil
 }
 
 // shortages describes the services whose rest cannot bear the load.
--- a/internal/ctl/config_test.go
+++ b/internal/ctl/config_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -59,6 +61,27 @@
 		Expect(result["wait_error"]).To(ContainSubstring("refused"))
 	})
 
+	// Guards against "everywhere" without an instance that the others do not
+	// know, or that is frozen, while an address without an instance is no reason
+	// to wait.
+	It("asks the directories of all given instances", func() {
+		w := newWorld(2)
+		frozen := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+		DeferCleanup(frozen.Close)
+		apart := newWorld(3)
+		code, result := w.result("config", "publish", file(sample()), "--deadline", "2500ms", "--instance", closedAddress(),
+			"--instance", frozen.Listener.Addr().String(), "--instance", apart.directory)
+		Expect(code).To(Equal(ctl.ExitBadResult))
+		Expect(result["instances"]).To(HaveLen(4))
+		Expect(result["instances"]).To(ContainElement(And(HaveKeyWithValue("id", "entry-3"), HaveKeyWithValue("confirmed", false))))
+		Expect(result["instances"]).To(ContainElement(And(HaveKeyWithValue("id", "unknown"),
+			HaveKeyWithValue("address", frozen.Listener.Addr().String()))))
+
+		code, out, problems := w.run("config", "publish", file(with(queue(20))), "--instance", closedAddress())
+		Expect(code).To(Equal(ctl.ExitOK), problems)
+		Expect(out).To(MatchRegexp(`in force everywhere +2 instances.*\nnote .*refused`))
+	})
+
 	// Guards against one operator who overwrites what another just published.
 	It("tells the loser of a race which version won and which fields clash", func() {
 		w := newWorld(1)
--- a/internal/ctl/inforce.go
+++ b/internal/ctl/inforce.go
@@ -35,7 +35,10 @@
 	// that disappears without having confirmed may be frozen and still be in
 	// the cached answers of callers, so it stays on the list.
 	known map[string]*instanceVersion
-	// failure is why no instance gave its directory last time.
+	// silent holds the given addresses that did not answer last time and belong
+	// to no known instance.
+	silent map[string]error
+	// failure is why an instance did not give its directory last time.
 	failure error
 }
 
@@ -56,13 +59,16 @@
 	return true
 }
 
-// round asks the directory and every instance that has not confirmed.
+// round asks the directories and every instance that has not confirmed.
 func (c *confirmation) round(ctx context.Context) bool {
-	listed, err := c.connection.fresh(ctx)
+	found := c.connection.survey(ctx)
+	c.merge(found.instances)
 	if ctx.Err() == nil {
-		c.failure = err
+		c.failure, c.silent = found.failure, found.silent
+	}
+	for _, i := range c.known {
+		delete(c.silent, i.Address)
 	}
-	c.merge(listed)
 	var group sync.WaitGroup
 	for _, i := range c.known {
 		if !i.Confirmed {
@@ -70,7 +76,7 @@
 		}
 	}
 	group.Wait()
-	return err == nil && len(c.pending()) == 0
+	return len(found.instances) > 0 && c.settled()
 }
 
 func (c *confirmation) merge(listed []*caller.Instance) {
@@ -104,30 +110,22 @@
 	}
 }
 
-// list returns all instances by id.
+// list returns all instances by id, and the silent addresses.
 func (c *confirmation) list() []instanceVersion {
-	list := make([]instanceVersion, 0, len(c.known))
+	list := make([]instanceVersion, 0, len(c.known)+len(c.silent))
 	for _, i := range c.known {
 		list = append(list, *i)
 	}
-	slices.SortFunc(list, func(a, b instanceVersion) int { return cmp.Compare(a.ID, b.ID) })
+	for address, err := range c.silent {
+		list = append(list, instanceVersion{ID: "unknown", Address: address, Detail: err.Error()})
+	}
+	slices.SortFunc(list, func(a, b instanceVersion) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Address, b.Address))
+	})
 	return list
 }
 
-func (c *confirmation) pending() []instanceVersion {
-	return slices.DeleteFunc(c.list(), func(i instanceVersion) bool { return i.Confirmed })
-}
-
-// fresh asks for the directory without a cache.
-func (c *connection) fresh(ctx context.Context) ([]*caller.Instance, error) {
-	client, err := c.client(0)
-	if err != nil {
-		return nil, err
-	}
-	defer client.Close()
-	directory, err := client.Directory(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return directory.Instances, nil
+// settled tells whether nothing is left to wait for.
+func (c *confirmation) settled() bool {
+	return !slices.ContainsFunc(c.list(), func(i instanceVersion) bool { return !i.Confirmed })
 }
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -245,8 +245,11 @@
 
 func (a *app) printInForce(r *publishResult, took time.Duration) error {
 	if *r.InForce {
-		return printTable(a.streams.Out, [][]string{{"in force everywhere", fmt.Sprintf("%d instances, after %.3f s",
-			len(r.Instances), took.Seconds())}})
+		rows := [][]string{{"in force everywhere", fmt.Sprintf("%d instances, after %.3f s", len(r.Instances), took.Seconds())}}
+		if r.WaitError != "" {
+			rows = append(rows, []string{"note", r.WaitError})
+		}
+		return printTable(a.streams.Out, rows)
 	}
 	rows := [][]string{{"NOT CONFIRMED", "ZONE", "ADDRESS", "VERSION", "DETAIL"}}
 	for _, i := range r.Instances {
@@ -254,8 +257,8 @@
 			rows = append(rows, []string{i.ID, i.Zone, i.Address, i.versionText(), i.Detail})
 		}
 	}
-	if r.WaitError != "" {
-		rows = append(rows, []string{"-", "-", "-", "-", "no directory: " + r.WaitError})
+	if len(r.Instances) == 0 {
+		rows = append(rows, []string{"none known", "", "", "", r.WaitError})
 	}
 	return printTable(a.streams.Out, rows)
 }
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -23,7 +23,8 @@
   0  the command ran and the result is good
   1  the command ran and the result is bad
   2  usage or settings are wrong
-  3  no instance, or the log service, could not be reached; nothing was changed`
+  3  no instance or no log service could be reached; the configuration was not
+     changed`
 
 // app is one run of the tool.
 type app struct {
