--- /dev/null
+++ b/internal/ctl/zone.go
@@ -0,0 +1,133 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"fulmarhoist.example/config"
+)
+
+func (a *app) zoneCommand() *cobra.Command {
+	return group("zone", "Take availability zones out of service and bring them back",
+		a.zoneAmendCommand(takeOut), a.zoneAmendCommand(bringIn), a.zoneListCommand())
+}
+
+func (a *app) zoneAmendCommand(d direction) *cobra.Command {
+	m := &amendment{app: a, direction: d}
+	m.apply = func(c *config.Configuration, name string) error {
+		zone, found := c.Zone(name)
+		if !found {
+			return &FlagError{"zone", fmt.Sprintf("%q is not in the configuration in force", name)}
+		}
+		zone.Out = d == takeOut
+		return nil
+	}
+	return m.command("availability zone")
+}
+
+// zoneLister holds the flags of the command zone list.
+type zoneLister struct {
+	app *app
+	log logFlags
+}
+
+func (a *app) zoneListCommand() *cobra.Command {
+	l := &zoneLister{app: a}
+	command := &cobra.Command{
+		Use:   "list --log-service URL",
+		Short: "List the availability zones with their state",
+		Long:  "List the availability zones of the configuration in force with their state.",
+		Args:  cobra.NoArgs,
+		RunE:  a.running(l.run),
+	}
+	l.log.register(command.Flags())
+	return command
+}
+
+// zonesResult is the result of zone list as JSON.
+type zonesResult struct {
+	Version uint64    `json:"version"`
+	Zones   []zoneRow `json:"zones"`
+}
+
+func (l *zoneLister) run(ctx context.Context) error {
+	state, err := l.log.state(ctx)
+	if err != nil {
+		return err
+	}
+	if l.app.output == outputJSON {
+		return printJSON(l.app.streams.Out, zonesResult{Version: state.Version, Zones: zoneList(state.Config)})
+	}
+	return printTable(l.app.streams.Out, zoneRows(state.Config))
+}
+
+// serving is what is in service of one service.
+type serving struct{ targets, slots int }
+
+// inService counts the targets that neither they nor their zone are out.
+func inService(c *config.Configuration, s *config.Service) (n serving) {
+	for i := range s.Targets {
+		t := &s.Targets[i]
+		if zone, found := c.Zone(t.Zone); t.Out || !found || zone.Out {
+			continue
+		}
+		n.targets++
+		n.slots += t.Slots
+	}
+	return n
+}
+
+// zoneRow is one availability zone of the list.
+type zoneRow struct {
+	Name      string `json:"name"`
+	Region    string `json:"region"`
+	Out       bool   `json:"out"`
+	Targets   int    `json:"targets"`
+	InService int    `json:"targets_in_service"`
+	Slots     int    `json:"slots_in_service"`
+}
+
+func zoneList(c *config.Configuration) []zoneRow {
+	rows := make([]zoneRow, len(c.Zones))
+	for n := range c.Zones {
+		z := &c.Zones[n]
+		row := zoneRow{Name: z.Name, Region: z.Region, Out: z.Out}
+		for i := range c.Services {
+			for j := range c.Services[i].Targets {
+				t := &c.Services[i].Targets[j]
+				if t.Zone != z.Name {
+					continue
+				}
+				row.Targets++
+				if !t.Out && !z.Out {
+					row.InService++
+					row.Slots += t.Slots
+				}
+			}
+		}
+		rows[n] = row
+	}
+	return rows
+}
+
+func zoneRows(c *config.Configuration) [][]string {
+	rows := [][]string{{"ZONE", "REGION", "STATE", "TARGETS", "IN SERVICE", "SLOTS IN SERVICE"}}
+	for _, z := range zoneList(c) {
+		rows = append(rows, []string{
+			z.Name, z.Region, serviceState(z.Out), strconv.Itoa(z.Targets),
+			strconv.Itoa(z.InService), strconv.Itoa(z.Slots),
+		})
+	}
+	return rows
+}
+
+// serviceState names the state of a zone or target in tables.
+func serviceState(out bool) string {
+	if out {
+		return "out"
+	}
+	return "in"
+}
