standin demo: take a zone out under load and count the outcomes

The parts of the product could only be seen at work in specs. Works are told apart by their path, so a work that ran under two keys counts as a duplicate. A run in which the zone got no work before or after the outage is rejected, because it proves nothing.

--- /dev/null
+++ b/internal/standin/demo/report.go
@@ -0,0 +1,301 @@
+package demo
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"fulmarhoist.example/internal/loadgen"
+	"fulmarhoist.example/internal/standin/targetserver"
+)
+
+// zoneLimit is the time after which a zone that was taken out gets no new work
+// (promise P3 of docs/design.md, section 1.2).
+const zoneLimit = 3 * time.Second
+
+// ZoneOutage is the time for which a zone was out of service.
+type ZoneOutage struct {
+	Name string
+	// Accepted is when the publication that took it out was accepted; Back is
+	// just before the operator began to bring it back.
+	Accepted, Back time.Time
+}
+
+// Probes is what is needed to compare load probes with their budget.
+type Probes struct {
+	Before    []TargetRecord
+	Window    time.Duration
+	Instances int
+	Budget    float64 // probes per second and target, over all instances
+}
+
+// Evidence is what callers and targets recorded.
+type Evidence struct {
+	Kinds   []kind
+	Works   []Work // of the warm-up as well
+	Load    *loadgen.Report
+	Targets []TargetRecord
+	Zone    ZoneOutage
+	Probes  Probes
+}
+
+// Row is the result of one kind of request.
+type Row struct {
+	Kind                              string
+	Idempotent                        bool
+	Answered, NotRun, Unknown, Failed int
+	// RanAgain counts the works that ran more than once, warm-up included.
+	RanAgain   int
+	P50, P99   time.Duration
+	NotStarted int
+}
+
+// Promise is one count that has to stay within a limit.
+type Promise struct {
+	Text  string
+	Count float64
+	Limit float64
+	// Decimals is the number of decimals in which the count is printed.
+	Decimals int
+}
+
+// Kept tells whether the count is within the limit.
+func (p Promise) Kept() bool { return p.Count <= p.Limit }
+
+// Result is the outcome of a demo.
+type Result struct {
+	Rows     []Row
+	Promises []Promise
+	Notes    []string
+	// Unproved lists parts of the scenario that did not happen, without which
+	// the counts prove nothing.
+	Unproved []string
+}
+
+// UnprovedError reports a run in which the scenario did not take place.
+type UnprovedError struct{ Missing []string }
+
+func (e *UnprovedError) Error() string {
+	return "the run proves nothing: " + strings.Join(e.Missing, "; ")
+}
+
+// BrokenError reports promises that were not kept.
+type BrokenError struct{ Promises []Promise }
+
+func (e *BrokenError) Error() string {
+	texts := make([]string, 0, len(e.Promises))
+	for _, p := range e.Promises {
+		texts = append(texts, fmt.Sprintf("%s: %.*f, limit %.*f", p.Text, p.Decimals, p.Count, p.Decimals, p.Limit))
+	}
+	return "promises broken: " + strings.Join(texts, "; ")
+}
+
+// Verdict returns a BrokenError if a promise was not kept, and an UnprovedError
+// if the run could not have shown it.
+func (r *Result) Verdict() error {
+	var broken []Promise
+	for _, p := range r.Promises {
+		if !p.Kept() {
+			broken = append(broken, p)
+		}
+	}
+	if len(broken) > 0 {
+		return &BrokenError{broken}
+	}
+	if len(r.Unproved) > 0 {
+		return &UnprovedError{r.Unproved}
+	}
+	return nil
+}
+
+// NewResult counts.
+func NewResult(e *Evidence) *Result {
+	runs := e.runs()
+	r := &Result{}
+	for i := range e.Kinds {
+		r.Rows = append(r.Rows, e.row(i, runs))
+	}
+	probed := e.probed()
+	r.Promises = []Promise{
+		{Text: "works that must not be repeated and ran more than once", Count: float64(e.duplicates(runs))},
+		{Text: "works refused as not run that ran", Count: float64(e.ranAlthoughRefused(runs))},
+		{Text: "answers that belonged to another request", Count: float64(e.foreign())},
+		{Text: fmt.Sprintf("requests that reached %s later than %v after it was taken out", e.Zone.Name, zoneLimit), Count: float64(e.lateInZone())},
+		{Text: "requests cut at a target", Count: float64(e.cutAtTargets())},
+		{Text: "requests cut at a caller", Count: float64(e.cutAtCallers())},
+		{Text: "overloads of cold targets", Count: float64(e.overloads())},
+		{
+			Text: "load probes to the most probed target", Count: float64(probed),
+			// Each instance may be ahead of its share by the burst of its token bucket, which is 1.
+			Limit: e.Probes.Budget*e.Probes.Window.Seconds() + float64(e.Probes.Instances),
+		},
+		{Text: "journal entries that were dropped, so that counts would be too low", Count: float64(e.dropped())},
+	}
+	r.Notes = e.notes(probed)
+	r.Unproved = e.missing(r.Rows)
+	return r
+}
+
+// missing lists the parts of the scenario that did not happen.
+func (e *Evidence) missing(rows []Row) []string {
+	var missing []string
+	for i := range rows {
+		if rows[i].Answered == 0 {
+			missing = append(missing, "no request of "+rows[i].Kind+" was answered")
+		}
+	}
+	if e.beforeOutage() == 0 {
+		missing = append(missing, e.Zone.Name+" got no request before it was taken out")
+	}
+	if e.afterReturn() == 0 {
+		missing = append(missing, e.Zone.Name+" got no request after it was brought back")
+	}
+	return missing
+}
+
+func (e *Evidence) beforeOutage() int {
+	return e.countEntries(func(t *TargetRecord, entry *targetserver.Entry) bool {
+		return t.Zone == e.Zone.Name && entry.Arrived.Before(e.Zone.Accepted)
+	})
+}
+
+// runs counts the executions of each work.
+func (e *Evidence) runs() map[string]int {
+	runs := make(map[string]int, len(e.Works))
+	for _, t := range e.Targets {
+		for i := range t.Journal.Entries {
+			if entry := &t.Journal.Entries[i]; entry.Ran() {
+				runs[entry.Path]++
+			}
+		}
+	}
+	return runs
+}
+
+func (e *Evidence) row(index int, runs map[string]int) Row {
+	group := &e.Load.Classes[index]
+	row := Row{
+		Kind: group.Name, Idempotent: e.Kinds[index].idempotent,
+		Answered: group.Outcomes[outcomeAnswered], NotRun: group.Outcomes[outcomeNotRun],
+		Unknown: group.Outcomes[outcomeUnknown], Failed: group.Outcomes[outcomeFailed],
+		P50: time.Duration(group.Latency.P50US) * time.Microsecond, P99: time.Duration(group.Latency.P99US) * time.Microsecond,
+		NotStarted: group.NotStarted,
+	}
+	for i := range e.Works {
+		if e.Works[i].Kind == index && runs[e.Works[i].Path] > 1 {
+			row.RanAgain++
+		}
+	}
+	return row
+}
+
+func (e *Evidence) countWorks(counts func(*Work) bool) int {
+	count := 0
+	for i := range e.Works {
+		if counts(&e.Works[i]) {
+			count++
+		}
+	}
+	return count
+}
+
+func (e *Evidence) duplicates(runs map[string]int) int {
+	return e.countWorks(func(w *Work) bool { return !e.Kinds[w.Kind].idempotent && runs[w.Path] > 1 })
+}
+
+func (e *Evidence) ranAlthoughRefused(runs map[string]int) int {
+	return e.countWorks(func(w *Work) bool { return w.Outcome == outcomeNotRun && runs[w.Path] > 0 })
+}
+
+func (e *Evidence) foreign() int { return e.countWorks(func(w *Work) bool { return w.Foreign }) }
+
+func (e *Evidence) cutAtCallers() int { return e.countWorks(func(w *Work) bool { return w.Cut }) }
+
+func (e *Evidence) countEntries(counts func(*TargetRecord, *targetserver.Entry) bool) int {
+	count := 0
+	for i := range e.Targets {
+		for n := range e.Targets[i].Journal.Entries {
+			if counts(&e.Targets[i], &e.Targets[i].Journal.Entries[n]) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// cutAtTargets counts requests that ran and did not come to their end.
+func (e *Evidence) cutAtTargets() int {
+	return e.countEntries(func(_ *TargetRecord, entry *targetserver.Entry) bool {
+		return entry.Ran() && entry.Outcome != targetserver.OutcomeAnswered
+	})
+}
+
+func (e *Evidence) lateInZone() int {
+	limit := e.Zone.Accepted.Add(zoneLimit)
+	return e.countEntries(func(t *TargetRecord, entry *targetserver.Entry) bool {
+		return t.Zone == e.Zone.Name && entry.Arrived.After(limit) && entry.Arrived.Before(e.Zone.Back)
+	})
+}
+
+// lastInZone is when the zone got its last request, after it was taken out.
+func (e *Evidence) lastInZone() time.Duration {
+	last := time.Duration(0)
+	e.countEntries(func(t *TargetRecord, entry *targetserver.Entry) bool {
+		if t.Zone == e.Zone.Name && entry.Arrived.Before(e.Zone.Back) {
+			last = max(last, entry.Arrived.Sub(e.Zone.Accepted))
+		}
+		return false
+	})
+	return last
+}
+
+// afterReturn counts the requests that the zone got after it was brought back.
+func (e *Evidence) afterReturn() int {
+	return e.countEntries(func(t *TargetRecord, entry *targetserver.Entry) bool {
+		return t.Zone == e.Zone.Name && entry.Arrived.After(e.Zone.Back)
+	})
+}
+
+func (e *Evidence) overloads() int64 {
+	var sum int64
+	for i := range e.Targets {
+		sum += e.Targets[i].Journal.Counters.OverloadsWhileCold
+	}
+	return sum
+}
+
+func (e *Evidence) dropped() int64 {
+	var sum int64
+	for i := range e.Targets {
+		sum += e.Targets[i].Journal.Dropped
+	}
+	return sum
+}
+
+// probed is the number of probes in the window to the target that got the most.
+func (e *Evidence) probed() int64 {
+	var most int64
+	for i := range e.Targets {
+		most = max(most, e.Targets[i].Journal.Counters.LoadProbes-e.Probes.Before[i].Journal.Counters.LoadProbes)
+	}
+	return most
+}
+
+func (e *Evidence) notes(probed int64) []string {
+	notes := []string{
+		fmt.Sprintf("Load probes: %.2f/s to the most probed target; the budget is %.2f/s per target.",
+			float64(probed)/e.Probes.Window.Seconds(), e.Probes.Budget),
+		fmt.Sprintf("%s got its last request %v after the publication was accepted, and %d requests after it was brought back.",
+			e.Zone.Name, e.lastInZone().Round(time.Millisecond), e.afterReturn()),
+	}
+	failures := map[string]int{}
+	for i := range e.Works {
+		if w := &e.Works[i]; w.Failure != "" && len(failures) < 5 {
+			failures[e.Kinds[w.Kind].name()+" "+w.Outcome+": "+w.Failure]++
+		}
+	}
+	for text := range failures {
+		notes = append(notes, "Example of a request without an answer: "+text)
+	}
+	return notes
+}
