standin demo: name the instances behind an overload of a cold target

The first run with three instances overloaded four cold targets, and the report did not tell when, or which instances had sent. It now lists each overload, and separates failures of the warm-up from those of the measured load.

--- a/internal/standin/demo/report.go
+++ b/internal/standin/demo/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +15,9 @@
 // (promise P3 of docs/design.md, section 1.2).
 const zoneLimit = 3 * time.Second
 
+// maxExamples bounds the errors that are printed.
+const maxExamples = 5
+
 // ZoneOutage is the time for which a zone was out of service.
 type ZoneOutage struct {
 	Name string
@@ -288,14 +293,62 @@
 		fmt.Sprintf("%s got its last request %v after the publication was accepted, and %d requests after it was brought back.",
 			e.Zone.Name, e.lastInZone().Round(time.Millisecond), e.afterReturn()),
 	}
-	failures := map[string]int{}
+	notes = append(notes, e.overloadNotes()...)
+	return append(notes, e.failureNotes()...)
+}
+
+// failureNotes gives a few different errors as examples, and the number of
+// errors of the warm-up, which the table leaves out.
+func (e *Evidence) failureNotes() []string {
+	var notes []string
+	warmUp := 0
 	for i := range e.Works {
-		if w := &e.Works[i]; w.Failure != "" && len(failures) < 5 {
-			failures[e.Kinds[w.Kind].name()+" "+w.Outcome+": "+w.Failure]++
+		w := &e.Works[i]
+		if w.Failure == "" {
+			continue
+		}
+		if w.Phase == phaseWarmUp {
+			warmUp++
+			continue
+		}
+		if len(notes) == maxExamples {
+			continue
+		}
+		note := fmt.Sprintf("Example of a request without an answer: %s, %s: %s", e.Kinds[w.Kind].name(), w.Outcome, w.Failure)
+		if !slices.Contains(notes, note) {
+			notes = append(notes, note)
 		}
 	}
-	for text := range failures {
-		notes = append(notes, "Example of a request without an answer: "+text)
+	if warmUp > 0 {
+		notes = append(notes, fmt.Sprintf("%d requests of the warm-up got no answer; the table leaves the warm-up out.", warmUp))
 	}
 	return notes
 }
+
+// overloadNotes tells when each cold target was overloaded, and by whom.
+func (e *Evidence) overloadNotes() []string {
+	var notes []string
+	for i := range e.Targets {
+		t := &e.Targets[i]
+		for _, overload := range t.Journal.Overloads {
+			notes = append(notes, fmt.Sprintf("Cold target %s had %d requests inside %.3f s after %s was brought back; requests to this process came from %s.",
+				t.Name, overload.Inside, overload.At.Sub(e.Zone.Back).Seconds(), e.Zone.Name, strings.Join(senders(t, overload), ", ")))
+		}
+	}
+	return notes
+}
+
+// senders lists the instances that sent to the overloaded process.
+func senders(t *TargetRecord, overload targetserver.Overload) []string {
+	count := map[string]int{}
+	for i := range t.Journal.Entries {
+		if entry := &t.Journal.Entries[i]; entry.BootID == overload.BootID {
+			count[entry.Instance]++
+		}
+	}
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(count)) {
+		names = append(names, fmt.Sprintf("%s (%d)", name, count[name]))
+	}
+	return names
+}
--- a/internal/standin/demo/scenario.go
+++ b/internal/standin/demo/scenario.go
@@ -100,7 +100,7 @@
 // observe sends the load and collects what callers and targets recorded.
 func (s *scenario) observe(ctx context.Context, capacity float64) (*Evidence, error) {
 	s.say("Warming up for %v at %.0f requests/s.", warmUp, warmUpShare*capacity)
-	s.sender.phase = "warm-up"
+	s.sender.phase = phaseWarmUp
 	if _, err := s.load(ctx, warmUpShare*capacity, warmUp, s.settings.Seed+1); err != nil {
 		return nil, err
 	}
@@ -110,7 +110,7 @@
 		return nil, err
 	}
 	s.say("Sending %.0f requests/s, %.0f%% of the capacity, for %v, seed %d.", loadShare*capacity, 100*loadShare, duration, s.settings.Seed)
-	s.sender.phase = "run"
+	s.sender.phase = phaseRun
 	load, err := s.loadWithOutage(ctx, loadShare*capacity)
 	if err != nil {
 		return nil, err
--- a/internal/standin/demo/sender.go
+++ b/internal/standin/demo/sender.go
@@ -22,11 +22,20 @@
 	outcomeFailed   = "failed"
 )
 
+// phase is a part of the load; the paths of works contain it.
+type phase string
+
+const (
+	phaseWarmUp phase = "warm-up"
+	phaseRun    phase = "run"
+)
+
 // Work is one piece of work as its caller saw it. Its path is unique and reaches
 // the target, so that the journals tell how often it ran, also if it was sent
 // under several keys or under none.
 type Work struct {
 	Path    string
+	Phase   phase
 	Kind    int // index into the kinds of the load
 	Outcome string
 	// Cut tells that an answer broke off, or that a connection broke after the
@@ -41,7 +50,7 @@
 // sender sends works through one caller per availability zone.
 type sender struct {
 	kinds  []kind
-	phase  string // distinguishes the paths of two runs
+	phase  phase
 	zones  []*caller.Client
 	mu     sync.Mutex
 	record []Work
@@ -73,7 +82,7 @@
 // Send implements loadgen.Sender.
 func (s *sender) Send(ctx context.Context, shot loadgen.Shot) loadgen.Answer {
 	k := &s.kinds[shot.Class]
-	work := Work{Path: fmt.Sprintf("/%s/%s/%d", k.name(), s.phase, shot.Number), Kind: shot.Class}
+	work := Work{Path: fmt.Sprintf("/%s/%s/%d", k.name(), s.phase, shot.Number), Phase: s.phase, Kind: shot.Class}
 	response, err := s.zones[shot.Number%len(s.zones)].Do(ctx, k.request(work.Path))
 	work.Outcome = outcomeOf(response, err)
 	answer := loadgen.Answer{Outcome: work.Outcome}
