standin/fleet: put relays between an instance and the platform or its peers

Failure specs need an instance that loses one of its paths while the others work. A plan names by instance the routes that pass a relay; the settings and the instance list then show the address of the relay. LogClient is exported, so that a spec can append a record again.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -34,6 +34,8 @@
 	DirectoryLifetime time.Duration
 	// Spans tells whether instances write their spans to Dir.
 	Spans bool
+	// Relays lists by instance id the routes that pass through a relay.
+	Relays map[string][]Route
 }
 
 // ServicePlan describes one service.
@@ -64,6 +66,7 @@
 	ID, Zone       string
 	Callers, Peers string
 	Spans          string // path of the spans file, if there is one
+	Relays         map[Route]*Relay
 }
 
 // Fleet is a running deployment.
@@ -73,11 +76,12 @@
 	List      *control.List
 	Targets   []*Target
 	Instances []*Instance
+	LogClient platform.Log // as operators reach the log service
 	Publisher *configlog.Publisher
 	Config    *config.Configuration
 
-	logURL, listURL string
-	processes       []*Process
+	logAddress, listAddress string
+	processes               []*Process
 }
 
 type readyLine struct {
@@ -139,12 +143,13 @@
 	if err != nil {
 		return err
 	}
-	f.logURL, f.listURL = "http://"+log.Address, "http://"+list.Address
+	f.logAddress, f.listAddress = log.Address, list.Address
 	f.Log, f.List = control.NewLog(log.Control), control.NewList(list.Control)
-	client, err := platformhttp.NewLogClient(f.logURL, platformhttp.Settings{})
+	client, err := platformhttp.NewLogClient("http://"+log.Address, platformhttp.Settings{})
 	if err != nil {
 		return fmt.Errorf("make a publisher: %w", err)
 	}
+	f.LogClient = client
 	f.Publisher = configlog.NewPublisher(client, configlog.Options{})
 	return nil
 }
@@ -188,7 +193,8 @@
 		return err
 	}
 	i.Process = p
-	member := instancelist.Member{ID: i.ID, Kind: string(platform.KindEntry), Zone: i.Zone, Address: i.Peers}
+	address := i.through(RoutePeers, i.Peers)
+	member := instancelist.Member{ID: i.ID, Kind: string(platform.KindEntry), Zone: i.Zone, Address: address}
 	if _, err := f.List.Put(ctx, member); err != nil {
 		return fmt.Errorf("list instance %s: %w", i.ID, err)
 	}
@@ -203,6 +209,9 @@
 		}
 		i.Callers, i.Peers = addresses[0], addresses[1]
 	}
+	if err := f.startRelays(i); err != nil {
+		return "", err
+	}
 	traces := settings.Traces{Exporter: "off"}
 	if f.Plan.Spans {
 		i.Spans = filepath.Join(f.Plan.Dir, i.ID+".spans")
@@ -211,9 +220,9 @@
 	document := map[string]any{
 		"instance": i.ID, "zone": i.Zone,
 		"callers":           settings.Endpoint{Listen: i.Callers, Advertise: i.Callers},
-		"peers":             settings.Endpoint{Listen: i.Peers, Advertise: i.Peers},
-		"log_service_url":   f.logURL,
-		"instance_list_url": f.listURL,
+		"peers":             settings.Endpoint{Listen: i.Peers, Advertise: i.through(RoutePeers, i.Peers)},
+		"log_service_url":   "http://" + i.through(RouteLog, f.logAddress),
+		"instance_list_url": "http://" + i.through(RouteList, f.listAddress),
 		"shared_key":        map[string]string{"value": sharedKey},
 		"traces":            traces,
 		"log_level":         "info",
