service: do not take one pause for the time of each request ahead

Cause: the failure spec of availability zones saw requests with a deadline of 10 s refused after 50 ms as not run for lack of time. The estimate multiplied the requests ahead by the time since the last release, so a pause of 250 ms with 40 requests waiting counted as 10 s. The first interval, which is long during a cold start, dominated the average as well. Change: an open pause counts as the next interval of the average, and the first intervals have equal weights. Result: the new queue spec fails on the old code and passes; go test ./service/ passes.

--- a/service/queue_test.go
+++ b/service/queue_test.go
@@ -201,6 +201,30 @@
 		Expect(err).NotTo(HaveOccurred(), "nobody is ahead")
 	})
 
+	// Guards against one pause, such as a cold start, that counts for each of the
+	// requests ahead and has requests refused that would be served in time.
+	It("does not take one pause for the service rate", func() {
+		q, now := service.NewQueue(100), start
+		join := func(left time.Duration) error {
+			_, err := q.JoinAt(now, service.Demand{Deadline: now.Add(left)})
+			return err
+		}
+		for range 30 {
+			Expect(join(time.Minute)).To(Succeed())
+		}
+		now = now.Add(500 * time.Millisecond)
+		q.Released(now)
+		for range 9 {
+			now = now.Add(10 * time.Millisecond)
+			q.Released(now)
+		}
+		Expect(join(2 * time.Second)).To(Succeed(), "20 ahead after a long first interval")
+		now = now.Add(300 * time.Millisecond)
+		Expect(join(3 * time.Second)).To(Succeed(), "21 ahead after a pause")
+		now = now.Add(10 * time.Second)
+		Expect(join(3 * time.Second)).NotTo(Succeed(), "21 ahead and no release for long")
+	})
+
 	// Guards against a full queue of reports that keeps interactive requests
 	// out, and against displacing uploads or requests past their bound.
 	It("displaces the last of the worst rank and tells it", func() {
--- a/service/waiting.go
+++ b/service/waiting.go
@@ -123,23 +123,31 @@
 
 func (r *serviceRate) record(now time.Time) {
 	if !r.last.IsZero() {
-		passed := max(0, now.Sub(r.last))
-		if r.samples == 0 {
-			r.interval = passed
-		} else {
-			r.interval += time.Duration(rateWeight * float64(passed-r.interval))
-		}
+		r.interval = r.averaged(max(0, now.Sub(r.last)))
 		r.samples++
 	}
 	r.last = now
 }
 
+// averaged returns the average with one more interval. The first intervals have
+// equal weights, so that a long first one does not dominate.
+func (r *serviceRate) averaged(passed time.Duration) time.Duration {
+	weight := max(rateWeight, 1/float64(r.samples+1))
+	return r.interval + time.Duration(weight*float64(passed-r.interval))
+}
+
 // wait estimates the time until a request with so many ahead is woken. A
 // request with none ahead is never held back, so that the rate goes on being
-// measured. Releases that stop for longer than the average count as its value.
+// measured. While releases stop for longer than the average, the pause counts as
+// its next interval: one pause, for example while targets start cold, says
+// little about the time that each of the requests ahead will take.
 func (r *serviceRate) wait(now time.Time, ahead int) time.Duration {
 	if ahead == 0 || r.samples < rateSamples {
 		return 0
 	}
-	return time.Duration(ahead+1) * max(r.interval, now.Sub(r.last))
+	interval := r.interval
+	if pause := now.Sub(r.last); pause > interval {
+		interval = r.averaged(pause)
+	}
+	return time.Duration(ahead+1) * interval
 }
