service: give a returned target generations that its name never had

Cause: the failure spec of availability zones saw a target overloaded while cold after its zone had returned. The catalog makes a new target on return, whose generations began at 1 again. Brokers and provers know targets by name and generation, so a proof of warmth from before the zone was taken out counted for the process that had started since. Change: the catalog keeps the newest target of each name, and a successor begins above its generations.

--- a/service/catalog.go
+++ b/service/catalog.go
@@ -96,13 +96,14 @@
 type Catalog struct {
 	ownZone string
 	policy  Policy
-	leaving map[string]bool // names of targets that are leaving
+	leaving map[string]bool           // names of targets that are leaving
+	last    map[string]*target.Target // newest target of each name, also of those that are out
 	current atomic.Pointer[Snapshot]
 }
 
 // NewCatalog returns a catalog without services for an instance in ownZone.
 func NewCatalog(ownZone string, policy Policy) *Catalog {
-	c := &Catalog{ownZone: ownZone, policy: policy}
+	c := &Catalog{ownZone: ownZone, policy: policy, last: make(map[string]*target.Target)}
 	c.current.Store(&Snapshot{})
 	return c
 }
@@ -191,7 +192,7 @@
 			key := targetKey{spec.Name, targetSpec(t, configuration.MaxInstances)}
 			kept, known := old.targets[key]
 			if !known {
-				kept = target.New(key.spec)
+				kept = c.newTarget(key.spec)
 			}
 			next.targets[key] = kept
 			made.Targets = append(made.Targets, kept)
@@ -200,6 +201,17 @@
 	return zones
 }
 
+// newTarget returns a cold target. Peers know targets by name and generation, so
+// the generations of a name are never used again.
+func (c *Catalog) newTarget(spec target.Spec) *target.Target {
+	made := target.New(spec)
+	if before := c.last[spec.Name]; before != nil {
+		made = before.Successor(spec)
+	}
+	c.last[spec.Name] = made
+	return made
+}
+
 // targetSpec limits the links of one instance so that all instances together
 // stay within the connections that the server accepts.
 func targetSpec(t config.Target, maxInstances int) target.Spec {
--- a/target/target.go
+++ b/target/target.go
@@ -97,9 +97,20 @@
 const defaultServiceTime = 20 * time.Millisecond
 
 // New returns a cold target that admits nothing.
-func New(spec Spec) *Target {
+func New(spec Spec) *Target { return newAt(spec, 1) }
+
+// Successor returns a cold target for a server that was out and returns. Its
+// generations are ones that the target did not have: what peers proved about
+// those, or were asked about them, says nothing about the server now.
+func (t *Target) Successor(spec Spec) *Target {
+	// One late report of a broken link can still advance the old target.
+	_, generation := t.State()
+	return newAt(spec, generation+2)
+}
+
+func newAt(spec Spec, generation uint32) *Target {
 	t := &Target{Spec: spec}
-	t.word.Store(uint64(pack(1, StateCold, 0, 0)))
+	t.word.Store(uint64(pack(generation, StateCold, 0, 0)))
 	t.service.Store(math.Float64bits(defaultServiceTime.Seconds()))
 	return t
 }
