Show each part's state as metrics and log the changes of targets

Change: gauges for services, targets, peers, configuration and peer protocol; events for target states and probes; span attributes only while recording; one object less per attempt.

--- a/daemon/applier.go
+++ b/daemon/applier.go
@@ -8,6 +8,7 @@
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/exchange"
 	"fulmarhoist.example/service"
+	"fulmarhoist.example/telemetry"
 )
 
 // applier is the one writer of the catalog and of the set of links. Others hand
@@ -15,16 +16,18 @@
 type applier struct {
 	catalog *service.Catalog
 	links   *exchange.Links
+	gauges  *gauges
 	logger  zerolog.Logger
 	states  chan config.State
 	leaving chan map[string]bool
 	stopped chan struct{}
 }
 
-func newApplier(catalog *service.Catalog, links *exchange.Links, logger zerolog.Logger) *applier {
+func newApplier(catalog *service.Catalog, links *exchange.Links, metrics *telemetry.Metrics, logger zerolog.Logger) *applier {
 	return &applier{
 		catalog: catalog,
 		links:   links,
+		gauges:  &gauges{metrics: metrics, catalog: catalog, known: map[string]bool{}},
 		logger:  logger,
 		states:  make(chan config.State),
 		leaving: make(chan map[string]bool),
@@ -43,6 +46,7 @@
 		case state := <-a.states:
 			changed = a.catalog.Apply(state)
 			if changed {
+				a.gauges.follow(state.Config)
 				a.logger.Info().Str("event", "config_in_force").Uint64("version", state.Version).Msg("configuration in force")
 			}
 		case names := <-a.leaving:
--- a/daemon/cluster.go
+++ b/daemon/cluster.go
@@ -83,6 +83,7 @@
 	listed   map[string]bool   // targets that the instance list shows as leaving
 	told     map[string]notice // targets that said they are leaving, here or to a peer
 	beatAt   time.Time
+	probes   uint32            // load probes when the last heartbeat was made
 	sentTo   map[string]uint64 // configuration version last sent, by peer
 }
 
@@ -210,6 +211,8 @@
 	if read := c.Reader.LastRead(); !read.IsZero() {
 		beat.LogAge = now.Sub(read)
 	}
+	spent := c.Mail.probes.Load()
+	beat.ProbesSpent, c.probes = spent-c.probes, spent
 	if err := c.mesh.Beat(beat, c.Roster.Recipients(now, rand.Uint64())); err != nil {
 		c.Logger.Error().Str("event", "heartbeat_failed").Err(err).Msg("heartbeat could not be encoded")
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/exchange"
 	"fulmarhoist.example/httpapi"
+	"fulmarhoist.example/instance"
 	"fulmarhoist.example/settings"
 	"fulmarhoist.example/telemetry"
 )
@@ -53,6 +54,7 @@
 	front    *httpapi.Front
 	drain    *drain
 	standing *standing
+	metrics  *telemetry.Metrics
 	group    sync.WaitGroup
 }
 
@@ -70,13 +72,16 @@
 	Front    *httpapi.Front
 	Drain    *drain
 	Standing *standing
+	Metrics  *telemetry.Metrics
+	Roster   *instance.Roster
 }
 
 func newDaemon(p parts) *Daemon {
 	p.Cluster.front = p.Front
+	registerGauges(p.Metrics, p.Reader, p.Roster, p.Standing)
 	return &Daemon{
 		settings: p.Settings, logger: p.Logger, tracing: p.Tracing, reader: p.Reader, applier: p.Applier,
-		links: p.Links, cluster: p.Cluster, front: p.Front, drain: p.Drain, standing: p.Standing,
+		links: p.Links, cluster: p.Cluster, front: p.Front, drain: p.Drain, standing: p.Standing, metrics: p.Metrics,
 	}
 }
 
@@ -134,6 +139,8 @@
 	if err := d.cluster.open(ctx, peers); err != nil {
 		return fmt.Errorf("join the other instances: %w", err)
 	}
+	registerPeerGauges(d.metrics, d.cluster.mesh)
+	d.metrics.Gauge("fulmarhoist_load_probes_total", func() float64 { return float64(d.cluster.Mail.probes.Load()) })
 	d.group.Go(func() { d.applier.run(ctx) })
 	d.group.Go(func() { d.reader.Run(ctx) })
 	d.group.Go(func() { d.cluster.run(ctx) })
--- /dev/null
+++ b/daemon/gauges.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"fmt"
+	"time"
+
+	"fulmarhoist.example/config"
+	"fulmarhoist.example/configlog"
+	"fulmarhoist.example/instance"
+	"fulmarhoist.example/peerwire"
+	"fulmarhoist.example/service"
+	"fulmarhoist.example/target"
+	"fulmarhoist.example/telemetry"
+)
+
+// gauges registers what the metrics page reads from the parts when it is written.
+type gauges struct {
+	metrics *telemetry.Metrics
+	catalog *service.Catalog
+	known   map[string]bool // services with gauges
+}
+
+// registerGauges adds the gauges that do not depend on the configuration.
+func registerGauges(m *telemetry.Metrics, reader *configlog.Reader, roster *instance.Roster, standing *standing) {
+	m.Gauge("fulmarhoist_config_version", func() float64 {
+		if state := reader.State(); state != nil {
+			return float64(state.Version)
+		}
+		return 0
+	})
+	m.Gauge("fulmarhoist_log_read_age_seconds", func() float64 {
+		if read := reader.LastRead(); !read.IsZero() {
+			return time.Since(read).Seconds()
+		}
+		return -1
+	})
+	m.Gauge("fulmarhoist_isolated", func() float64 { return number(standing.Isolated()) })
+	m.Gauge("fulmarhoist_leaving", func() float64 { return number(standing.Leaving()) })
+	for _, state := range []instance.State{instance.StateListed, instance.StateLive, instance.StateSuspected, instance.StateDead} {
+		m.Gauge(fmt.Sprintf(`fulmarhoist_peers{state=%q}`, state), func() float64 {
+			count := 0
+			for _, peer := range roster.View().Peers {
+				if peer.State == state {
+					count++
+				}
+			}
+			return float64(count)
+		})
+	}
+}
+
+// registerPeerGauges adds the counts of the peer protocol.
+func registerPeerGauges(m *telemetry.Metrics, mesh *peerwire.Mesh) {
+	for name, read := range map[string]func(peerwire.Stats) uint64{
+		"fulmarhoist_peer_bytes_sent_total":        func(s peerwire.Stats) uint64 { return s.BytesSent },
+		"fulmarhoist_peer_bytes_received_total":    func(s peerwire.Stats) uint64 { return s.BytesReceived },
+		"fulmarhoist_peer_messages_sent_total":     func(s peerwire.Stats) uint64 { return s.FramesSent },
+		"fulmarhoist_peer_messages_received_total": func(s peerwire.Stats) uint64 { return s.FramesReceived },
+	} {
+		m.Gauge(name, func() float64 { return float64(read(mesh.Stats())) })
+	}
+}
+
+// follow adds gauges for services that are new in the configuration. They read
+// the current snapshot, so a service that is gone shows 0.
+func (g *gauges) follow(configuration *config.Configuration) {
+	for i := range configuration.Services {
+		name := configuration.Services[i].Name
+		if g.known[name] {
+			continue
+		}
+		g.known[name] = true
+		g.metrics.Gauge(fmt.Sprintf(`fulmarhoist_in_flight{service=%q}`, name), func() float64 { return g.inFlight(name) })
+		g.metrics.Gauge(fmt.Sprintf(`fulmarhoist_waiting{service=%q}`, name), func() float64 {
+			if s, ok := g.catalog.Snapshot().Service(name); ok {
+				return float64(s.Queue.Len())
+			}
+			return 0
+		})
+		for _, state := range []target.State{target.StateCold, target.StateWarming, target.StateWarm, target.StateLeaving} {
+			g.metrics.Gauge(fmt.Sprintf(`fulmarhoist_targets{service=%q,state=%q}`, name, state), func() float64 {
+				return g.targets(name, state)
+			})
+		}
+	}
+}
+
+func (g *gauges) inFlight(name string) float64 {
+	total := 0
+	for t, owner := range g.catalog.Snapshot().Targets() {
+		if owner == name {
+			total += t.InFlight()
+		}
+	}
+	return float64(total)
+}
+
+func (g *gauges) targets(name string, state target.State) float64 {
+	count := 0
+	for t, owner := range g.catalog.Snapshot().Targets() {
+		if current, _ := t.State(); owner == name && current == state {
+			count++
+		}
+	}
+	return float64(count)
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/daemon/mail.go
+++ b/daemon/mail.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"fulmarhoist.example/coldstart"
 	"fulmarhoist.example/contract"
 	"fulmarhoist.example/lease"
@@ -23,6 +25,8 @@
 	members atomic.Pointer[coldstart.Members]
 	leaving chan string // names of targets that said they are leaving
 	crashes *contract.Fingerprints
+	logger  zerolog.Logger
+	probes  atomic.Uint32 // load probes since the start
 
 	mesh     *peerwire.Mesh
 	answered func(now time.Time, from lease.Holder, answer coldstart.Answer)
@@ -30,8 +34,8 @@
 	group    sync.WaitGroup
 }
 
-func newMail(crashes *contract.Fingerprints) *mail {
-	m := &mail{leaving: make(chan string, 64), crashes: crashes}
+func newMail(crashes *contract.Fingerprints, logger zerolog.Logger) *mail {
+	m := &mail{leaving: make(chan string, 64), crashes: crashes, logger: logger}
 	m.members.Store(&coldstart.Members{})
 	return m
 }
@@ -53,10 +57,22 @@
 	}
 }
 
-// Crashed implements link.Crashes. It counts the crash here and tells the peers,
+// Changed implements link.Events.
+func (m *mail) Changed(t *target.Target) {
+	state, generation := t.State()
+	m.logger.Info().Str("event", "target_"+state.String()).Str("target", t.Spec.Name).
+		Uint32("generation", generation).Int("limit", t.Limit()).Msg("the state of a target changed")
+}
+
+// Probed implements link.Events.
+func (m *mail) Probed(*target.Target) { m.probes.Add(1) }
+
+// Crashed implements link.Events. It counts the crash here and tells the peers,
 // because the caller may send the request again through any of them.
 func (m *mail) Crashed(t *target.Target, running []contract.Fingerprint) {
 	m.crashes.Crashed(time.Now(), t.Spec.Name, running...)
+	m.logger.Warn().Str("event", "target_crashed").Str("target", t.Spec.Name).Int("requests", len(running)).
+		Msg("a target went down while it ran requests")
 	_, generation := t.State()
 	for _, peer := range m.membersNow().Live {
 		for i := range running {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -234,9 +234,11 @@
 		s.finish(true, s.began)
 		return nil, refusalOf(err), false
 	}
-	ctx, span := x.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient),
-		trace.WithAttributes(attribute.String("target", chosen.Spec.Name), attribute.Int("attempt", x.Contract.Attempts())))
+	ctx, span := x.Tracer.Start(ctx, "attempt", clientSpan)
 	defer span.End()
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("target", chosen.Spec.Name), attribute.Int("attempt", x.Contract.Attempts()))
+	}
 	response, failure, err := s.send(ctx, request, content)
 	if err == nil {
 		x.Contract.Answer()
@@ -331,4 +333,6 @@
 	return out.WithContext(ctx)
 }
 
+var clientSpan = trace.WithSpanKind(trace.SpanKindClient)
+
 func newAttemptID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
--- a/exchange/links.go
+++ b/exchange/links.go
@@ -14,7 +14,7 @@
 // immutable map; Follow, called by one goroutine, replaces it.
 type Links struct {
 	lessor   link.Lessor
-	crashes  link.Crashes
+	events   link.Events
 	draining func(*target.Target)
 
 	sets   atomic.Pointer[map[*target.Target]*runningSet]
@@ -30,9 +30,9 @@
 
 // NewLinks returns a holder without links. The function draining is told about
 // targets that said they are leaving.
-func NewLinks(lessor link.Lessor, crashes link.Crashes, draining func(*target.Target)) *Links {
+func NewLinks(lessor link.Lessor, events link.Events, draining func(*target.Target)) *Links {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Links{lessor: lessor, crashes: crashes, draining: draining, ctx: ctx, cancel: cancel}
+	l := &Links{lessor: lessor, events: events, draining: draining, ctx: ctx, cancel: cancel}
 	l.sets.Store(&map[*target.Target]*runningSet{})
 	return l
 }
@@ -88,7 +88,7 @@
 		Probes: target.NewProbeBudget(configuration.Measuring.ProbesPerSecond, configuration.MaxInstances),
 	}
 	ctx, stop := context.WithCancel(l.ctx)
-	running := &runningSet{Set: link.NewSet(t, terms, link.Surroundings{Lessor: l.lessor, Demand: owner, Crashes: l.crashes}), stop: stop}
+	running := &runningSet{Set: link.NewSet(t, terms, link.Surroundings{Lessor: l.lessor, Demand: owner, Events: l.events}), stop: stop}
 	l.group.Go(func() { running.Run(ctx) })
 	return running
 }
--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -59,6 +59,8 @@
 	Metrics   *telemetry.Metrics
 }
 
+var serverSpan = trace.WithSpanKind(trace.SpanKindServer)
+
 // Handler returns the handler of all paths that callers use.
 func (f *Front) Handler() http.Handler {
 	router := chi.NewRouter()
@@ -118,9 +120,11 @@
 		return
 	}
 	ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := f.Tracer.Start(ctx, "receive", trace.WithSpanKind(trace.SpanKindServer),
-		trace.WithAttributes(attribute.String("service", a.terms.Service), attribute.String("class", a.terms.Class)))
+	ctx, span := f.Tracer.Start(ctx, "receive", serverSpan)
 	defer span.End()
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("service", a.terms.Service), attribute.String("class", a.terms.Class))
+	}
 	limitTransfer(w, r, a)
 	request := &exchange.Request{Method: r.Method, URL: r.URL, Header: passOn(r.Header), Body: r.Body, Size: r.ContentLength}
 	if a.terms.Key.IsZero() {
--- a/internal/bench/hop_test.go
+++ b/internal/bench/hop_test.go
@@ -44,6 +44,8 @@
 func (alone) Warm(*target.Target)                                 {}
 
 func (alone) Crashed(*target.Target, []contract.Fingerprint) {}
+func (alone) Changed(*target.Target)                         {}
+func (alone) Probed(*target.Target)                          {}
 
 func (alone) Isolated() bool { return false }
 func (alone) Leaving() bool  { return false }
--- a/link/link.go
+++ b/link/link.go
@@ -58,7 +58,7 @@
 	conn      *observedConn
 	transport *http.Transport
 	trusted   atomic.Bool
-	work      atomic.Pointer[carried]
+	work      atomic.Pointer[Work]
 	provedAt  atomic.Int64 // when the connection was last known to work, Unix nanoseconds
 }
 
@@ -66,27 +66,22 @@
 // breaks while the request is on it.
 type Work struct {
 	Fingerprint func() contract.Fingerprint
-}
 
-// carried is work with the reads on the connection before it.
-type carried struct {
-	*Work
-	reads int64
+	reads int64 // reads on the connection before the request
 }
 
 // Carry records the request that is on the link; nil when it has ended.
 func (l *Link) Carry(work *Work) {
-	if work == nil {
-		l.work.Store(nil)
-		return
+	if work != nil {
+		work.reads = l.conn.reads.Load()
 	}
-	l.work.Store(&carried{work, l.conn.reads.Load()})
+	l.work.Store(work)
 }
 
 // unanswered returns the work for which no byte of an answer has arrived.
 func (l *Link) unanswered() *Work {
-	if c := l.work.Load(); c != nil && l.conn.reads.Load() == c.reads {
-		return c.Work
+	if work := l.work.Load(); work != nil && l.conn.reads.Load() == work.reads {
+		return work
 	}
 	return nil
 }
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -123,6 +123,8 @@
 func (*always) Warm(*target.Target)                                 {}
 func (*always) Wanted(time.Time) bool                               { return true }
 func (*always) Crashed(*target.Target, []contract.Fingerprint)      {}
+func (*always) Changed(*target.Target)                              {}
+func (*always) Probed(*target.Target)                               {}
 func (a *always) Ready()                                            { a.ready.Add(1) }
 
 func runSet(t *target.Target) *link.Set {
@@ -131,7 +133,7 @@
 		Probes: target.NewProbeBudget(0, 7),
 	}
 	helper := &always{}
-	set := link.NewSet(t, terms, link.Surroundings{Lessor: helper, Demand: helper, Crashes: helper})
+	set := link.NewSet(t, terms, link.Surroundings{Lessor: helper, Demand: helper, Events: helper})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); set.Run(ctx) }()
--- a/link/owner.go
+++ b/link/owner.go
@@ -99,6 +99,9 @@
 	}
 	o.warmup.Step(now, leased)
 	after, _ := o.target.State()
+	if after != before {
+		o.Events.Changed(o.target)
+	}
 	if before == target.StateCold && after == target.StateWarming {
 		o.Lessor.Warm(o.target)
 	}
@@ -132,6 +135,7 @@
 		return
 	}
 	o.wantProof.Store(false)
+	o.Events.Probed(o.target)
 	sent := time.Now()
 	if _, err := askLoad(ctx, l); err != nil {
 		return
@@ -146,6 +150,7 @@
 	if !o.target.Identifiable() || !o.terms.Probes.Take(time.Now()) {
 		return nil
 	}
+	o.Events.Probed(o.target)
 	bootID, err := askLoad(ctx, l)
 	if err != nil {
 		return err
--- a/link/set.go
+++ b/link/set.go
@@ -34,10 +34,16 @@
 	Ready()
 }
 
-// Crashes is told which requests were running on a target when all of its
-// connections broke.
-type Crashes interface {
+// Events is told what happens to a target. Its methods are called from any
+// goroutine and return without waiting.
+type Events interface {
+	// Crashed names the requests that were running on a target when all of its
+	// connections broke.
 	Crashed(t *target.Target, running []contract.Fingerprint)
+	// Changed reports a new state of the target.
+	Changed(t *target.Target)
+	// Probed reports a probe of the load endpoint.
+	Probed(t *target.Target)
 }
 
 // Terms is what is agreed about a target's links.
@@ -48,9 +54,9 @@
 
 // Surroundings are the parts that a Set works with.
 type Surroundings struct {
-	Lessor  Lessor
-	Demand  Demand
-	Crashes Crashes
+	Lessor Lessor
+	Demand Demand
+	Events Events
 }
 
 // crashWindow is the time within which the connections of a process that has
@@ -225,7 +231,8 @@
 	}
 	var dropped []*Link
 	var lost []lostWork
-	if known && l.trusted.Load() && !s.hasTrusted(l.Generation) && s.target.Restarted(l.Generation) {
+	restarted := known && l.trusted.Load() && !s.hasTrusted(l.Generation) && s.target.Restarted(l.Generation)
+	if restarted {
 		dropped, s.waiting = s.waiting, nil
 		lost = s.lost
 	}
@@ -236,7 +243,10 @@
 	for _, d := range dropped {
 		d.Close()
 	}
-	s.reportCrash(now, lost)
+	if restarted {
+		s.Events.Changed(s.target)
+		s.reportCrash(now, lost)
+	}
 	s.notify()
 }
 
@@ -248,7 +258,7 @@
 		}
 	}
 	if len(running) > 0 {
-		s.Crashes.Crashed(s.target, running)
+		s.Events.Crashed(s.target, running)
 	}
 }
 
