link, lease: end a dial loop and a lease that its release has overtaken

Cause: the cold start specs saw targets without work for more than 45 s after a restart, and 49,656 sockets in TIME_WAIT. Links that ended while idle stayed in the channel of idle links. When it was full, a new link had no place and was closed; as the only link of its generation it took the generation with it, and the next one was dialed at once (generation 6831 after 0.5 s). Change: a link that finds the channel full replaces one that has ended. A granter refuses a request that arrives after its own release; such a grant would have lasted for its whole term (found by reading). Result: the new link and lease specs pass; the link spec fails without the change.

--- a/lease/granter.go
+++ b/lease/granter.go
@@ -52,16 +52,29 @@
 
 // Granter keeps the consents that this instance gave, also to itself.
 type Granter struct {
-	grants map[string]grant // by target name
+	grants   map[string]grant // by target name
+	released map[released]uint64
+}
+
+// released names the newest round for which a holder has released a target.
+type released struct {
+	target string
+	holder Holder
 }
 
 // NewGranter returns a granter that has consented to nothing.
-func NewGranter() *Granter { return &Granter{grants: make(map[string]grant)} }
+func NewGranter() *Granter {
+	return &Granter{grants: make(map[string]grant), released: make(map[released]uint64)}
+}
 
 // Ask handles a request for the lease on a target. MaxRun is the longest time
 // that a request may run on the target. A repeated request of the same holder
-// renews its grant.
+// renews its grant. A request that its own release has overtaken is refused: the
+// holder would not release that grant again, and it would last for its full term.
 func (g *Granter) Ask(now time.Time, request Request, from Holder, maxRun time.Duration) Reply {
+	if request.Round <= g.released[released{request.Target, from}] {
+		return ReplyRefused
+	}
 	held, ok := g.grants[request.Target]
 	if ok && held.holder != from && now.Before(held.until) {
 		return ReplyRefused
@@ -80,6 +93,8 @@
 // Release ends a grant. The holder sends it when no work of it runs any more. A
 // release that was overtaken by a request of a later round has no effect.
 func (g *Granter) Release(request Request, from Holder) {
+	key := released{request.Target, from}
+	g.released[key] = max(g.released[key], request.Round)
 	held := g.grants[request.Target]
 	if held.holder == from && held.round <= request.Round {
 		delete(g.grants, request.Target)
@@ -94,6 +109,11 @@
 			delete(g.grants, target)
 		}
 	}
+	for key := range g.released {
+		if key.holder == holder {
+			delete(g.released, key)
+		}
+	}
 }
 
 // Holder returns who holds consent for the target.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -231,6 +231,21 @@
 		Expect(granter.Ask(lastEnd, request, b, maxRun)).To(Equal(lease.ReplyGranted))
 	})
 
+	// Guards against a request that arrives after its own release and then keeps
+	// the target from all others for a whole term.
+	It("does not consent to a request that its release has overtaken", func() {
+		granter := lease.NewGranter()
+		a, b := lease.Holder{Instance: "a", Incarnation: 1}, lease.Holder{Instance: "b", Incarnation: 2}
+		now := time.Unix(100, 0)
+		second := lease.Request{Target: targetName, Round: 2}
+		granter.Release(second, a)
+		Expect(granter.Ask(now, lease.Request{Target: targetName, Round: 1}, a, maxRun)).To(Equal(lease.ReplyRefused))
+		Expect(granter.Ask(now, second, a, maxRun)).To(Equal(lease.ReplyRefused))
+		Expect(granter.Ask(now, lease.Request{Target: targetName, Round: 1}, b, maxRun)).To(Equal(lease.ReplyGranted))
+		granter.Release(lease.Request{Target: targetName, Round: 1}, b)
+		Expect(granter.Ask(now, lease.Request{Target: targetName, Round: 3}, a, maxRun)).To(Equal(lease.ReplyGranted))
+	})
+
 	// Guards against a proof from before the question, which could refer to a
 	// process that has ended since.
 	It("proves warmth only by a request sent after the question", func() {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -181,4 +181,27 @@
 		_, generation := t.State()
 		Expect(generation).To(BeNumerically(">", 1))
 	})
+
+	// Guards against ended links that fill the places of the idle ones: each new
+	// connection would be closed at once and another one opened, without end.
+	It("replaces idle links that have ended", func(ctx SpecContext) {
+		s := newServer(answer)
+		t := newTarget(s.address())
+		set := runSet(t)
+		first := take(set)
+		Eventually(s.accepted.Load).Should(Equal(int32(2)))
+		sent := time.Now()
+		response, _, err := first.Send(get(ctx))
+		Expect(err).NotTo(HaveOccurred())
+		_, _ = io.Copy(io.Discard, response.Body)
+		set.Answered(first, sent)
+		second := take(set)
+		set.Put(first)
+		set.Put(second)
+		_ = (<-s.conns).Close()
+		_ = (<-s.conns).Close()
+		Eventually(s.accepted.Load).Should(Equal(int32(4)))
+		Consistently(s.accepted.Load).WithTimeout(200 * time.Millisecond).Should(Equal(int32(4)))
+		Expect(take(set).Alive()).To(BeTrue())
+	})
 })
--- a/link/set.go
+++ b/link/set.go
@@ -127,7 +127,32 @@
 	select {
 	case s.idle <- l:
 	default:
-		l.Close()
+		s.replaceEnded(l)
+	}
+}
+
+// replaceEnded puts a link back in the place of one that has ended. The set opens
+// no more links than there are places, so a full channel holds such links. If the
+// new link were closed instead, another one would be dialed at once, without end.
+func (s *Set) replaceEnded(l *Link) {
+	links := []*Link{l}
+	for range 4 * cap(s.idle) {
+		select {
+		case s.idle <- links[0]:
+			links = links[1:]
+		case oldest := <-s.idle:
+			if s.usable(oldest) {
+				links = append(links, oldest)
+			} else {
+				oldest.Close()
+			}
+		}
+		if len(links) == 0 {
+			return
+		}
+	}
+	for _, left := range links {
+		left.Close()
 	}
 }
 
