--- a/exchange/links.go
+++ b/exchange/links.go
@@ -61,6 +61,7 @@
 	next := make(map[*target.Target]*runningSet, len(wanted))
 	for t, name := range wanted {
 		if kept := old[t]; kept != nil {
+			kept.SetTerms(termsOf(name, snapshot))
 			next[t] = kept
 			continue
 		}
@@ -76,21 +77,25 @@
 
 func (l *Links) start(t *target.Target, name string, snapshot *service.Snapshot) *runningSet {
 	owner, _ := snapshot.Service(name)
-	spec, _ := snapshot.State.Config.Service(name)
+	ctx, stop := context.WithCancel(l.ctx)
+	surroundings := link.Surroundings{Lessor: l.lessor, Demand: owner, Events: l.events}
+	running := &runningSet{Set: link.NewSet(t, termsOf(name, snapshot), surroundings), stop: stop}
+	l.group.Go(func() { running.Run(ctx) })
+	return running
+}
+
+func termsOf(name string, snapshot *service.Snapshot) link.Terms {
 	configuration := snapshot.State.Config
-	terms := link.Terms{
+	spec, _ := configuration.Service(name)
+	return link.Terms{
 		Cold: target.ColdTerms{
 			Bears:        spec.ColdStart.Bears,
 			Duration:     spec.ColdStart.Duration(),
 			Answers:      spec.ColdStart.Answers,
 			MaxInstances: configuration.MaxInstances,
 		},
-		Probes: target.NewProbeBudget(configuration.Measuring.ProbesPerSecond, configuration.MaxInstances),
+		ProbesPerSecond: configuration.Measuring.ProbesPerSecond,
 	}
-	ctx, stop := context.WithCancel(l.ctx)
-	running := &runningSet{Set: link.NewSet(t, terms, link.Surroundings{Lessor: l.lessor, Demand: owner, Events: l.events}), stop: stop}
-	l.group.Go(func() { running.Run(ctx) })
-	return running
 }
 
 // Close closes all links and waits until their goroutines have ended.
--- a/link/owner.go
+++ b/link/owner.go
@@ -35,7 +35,9 @@
 // probes.
 type owner struct {
 	*Set
+	terms   *Terms // the terms that warmup and probes were made from
 	warmup  *target.Warmup
+	probes  *target.ProbeBudget
 	answers uint64
 	usedAt  time.Time
 }
@@ -45,11 +47,12 @@
 // back, so that no request in flight is cut.
 func (s *Set) Run(ctx context.Context) {
 	defer s.close()
-	o := &owner{Set: s, warmup: target.NewWarmup(s.target, s.terms.Cold)}
+	o := &owner{Set: s, warmup: target.NewWarmup(s.target)}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	redial := firstRedial
 	for {
+		o.adopt()
 		pause := o.step(time.Now())
 		if s.missing() {
 			if err := o.dial(ctx); err != nil {
@@ -60,7 +63,7 @@
 				continue
 			}
 		}
-		if s.wantProof.Load() && s.terms.Probes.Take(time.Now()) {
+		if s.wantProof.Load() && o.probes.Take(time.Now()) {
 			o.probe(ctx)
 		}
 		timer.Reset(pause)
@@ -73,6 +76,17 @@
 	}
 }
 
+// adopt takes over new terms.
+func (o *owner) adopt() {
+	terms := o.Set.terms.Load()
+	if o.terms != nil && *o.terms == *terms {
+		return
+	}
+	o.terms = terms
+	o.warmup.SetTerms(terms.Cold)
+	o.probes = target.NewProbeBudget(terms.ProbesPerSecond, terms.Cold.MaxInstances)
+}
+
 // jitter spreads the redials of many instances to a target that comes back.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
@@ -147,7 +161,7 @@
 // identify asks over the first link of a generation which process it reaches. If
 // only the connections to a warm process had broken, it goes on as warm.
 func (o *owner) identify(ctx context.Context, l *Link) error {
-	if !o.target.Identifiable() || !o.terms.Probes.Take(time.Now()) {
+	if !o.target.Identifiable() || !o.probes.Take(time.Now()) {
 		return nil
 	}
 	o.Events.Probed(o.target)
--- a/link/set.go
+++ b/link/set.go
@@ -46,10 +46,11 @@
 	Probed(t *target.Target)
 }
 
-// Terms is what is agreed about a target's links.
+// Terms is what the configuration says about a target's links. It is comparable.
 type Terms struct {
-	Cold   target.ColdTerms
-	Probes *target.ProbeBudget
+	Cold target.ColdTerms
+	// ProbesPerSecond is the budget for load probes, over all instances.
+	ProbesPerSecond float64
 }
 
 // Surroundings are the parts that a Set works with.
@@ -79,7 +80,7 @@
 // was alive then, so both links reach the same one.
 type Set struct {
 	target *target.Target
-	terms  Terms
+	terms  atomic.Pointer[Terms]
 	Surroundings
 	idle chan *Link
 	wake chan struct{} // capacity 1
@@ -96,14 +97,21 @@
 
 // NewSet returns the set of links of a target.
 func NewSet(t *target.Target, terms Terms, surroundings Surroundings) *Set {
-	return &Set{
+	s := &Set{
 		target:       t,
-		terms:        terms,
 		Surroundings: surroundings,
 		idle:         make(chan *Link, t.Spec.Links),
 		wake:         make(chan struct{}, 1),
 		open:         make(map[*Link]struct{}, t.Spec.Links),
 	}
+	s.terms.Store(&terms)
+	return s
+}
+
+// SetTerms replaces the terms, after a change of the configuration.
+func (s *Set) SetTerms(terms Terms) {
+	s.terms.Store(&terms)
+	s.notify()
 }
 
 // Take returns an idle trusted link, or nil if there is none.
--- a/target/warmup.go
+++ b/target/warmup.go
@@ -31,10 +31,11 @@
 	limit       int
 }
 
-// NewWarmup returns the warm-up of a target.
-func NewWarmup(t *Target, terms ColdTerms) *Warmup {
-	return &Warmup{target: t, terms: terms}
-}
+// NewWarmup returns the warm-up of a target, under terms that bear nothing.
+func NewWarmup(t *Target) *Warmup { return &Warmup{target: t} }
+
+// SetTerms sets the terms. They apply from the next step on.
+func (w *Warmup) SetTerms(terms ColdTerms) { w.terms = terms }
 
 // Connected records that a link of the given generation was opened. The cold
 // duration counts from the first one: the process started before it.
