Measure silence against the class, and only while the target is awaited

Cause: found by reading. The limit of 20 times the target's expected delay mixed all classes, so a report of 10 s beside lookups of 20 ms would have been given up three times; and a caller that paused while it read a long answer made the link look silent, which cut its answer. Change: the usual response time is kept per class, and a quarter of the deadline is the limit for requests that may wait or are not known yet; the time runs only while a read from the target is under way. Result: the spec with a pause of 2.5 s fails without the change ('streams a long answer') and passes with it.

--- a/exchange/sending.go
+++ b/exchange/sending.go
@@ -120,6 +120,7 @@
 	if inOrder && !answered.IsZero() && answered.After(s.began) {
 		took := answered.Sub(s.began)
 		s.permit.Target.Answered(took)
+		s.x.Service.Durations.Answered(s.x.Contract.Terms.Class, took)
 		s.set.Answered(s.link, s.began)
 		s.x.Observer.Attempt(s.x.Service.Name, 0, took)
 	}
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -14,9 +14,13 @@
 	// leastSilence and silenceFactor set after which time without progress the
 	// link of an idempotent request counts as silent: a connection that
 	// something on the way has lost track of never answers, while a slow target
-	// takes a few times its usual time.
+	// takes a few times the usual time of the class.
 	leastSilence  = 250 * time.Millisecond
 	silenceFactor = 20
+	// patience is the part of the deadline after which a link counts as silent
+	// in any case but not earlier for requests that may wait, because their
+	// response times differ too much for an average.
+	patience = 4
 	// cancelMargin is the time before the deadline at which the target is asked
 	// to cancel a request that must not run twice.
 	cancelMargin = 500 * time.Millisecond
@@ -47,7 +51,7 @@
 	w := &watch{}
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	if s.x.Contract.Terms.Idempotent {
-		w.limit = max(leastSilence, silenceFactor*s.permit.Target.ExpectedDelay(s.began))
+		w.limit = s.silenceLimit()
 		w.timer = time.AfterFunc(w.limit, func() {
 			w.silent.Store(true)
 			w.cancel()
@@ -67,13 +71,31 @@
 	return w
 }
 
-// progress puts the end of an idempotent attempt off.
-func (w *watch) progress() {
+// silenceLimit returns the time without progress after which the link counts as
+// silent.
+func (s *sending) silenceLimit() time.Duration {
+	long := max(leastSilence, s.x.Contract.Terms.Deadline.Sub(s.began)/patience)
+	usual, known := s.x.Service.Durations.Usual(s.x.Contract.Terms.Class)
+	if !known || s.x.Demand.Rank != 0 {
+		return long
+	}
+	return max(leastSilence, silenceFactor*max(usual, s.permit.Target.ExpectedDelay(s.began)))
+}
+
+// waiting starts to count the time without progress again.
+func (w *watch) waiting() {
 	if w.limit > 0 {
 		w.timer.Reset(w.limit)
 	}
 }
 
+// paused stops counting while this process waits for the caller.
+func (w *watch) paused() {
+	if w.limit > 0 {
+		w.timer.Stop()
+	}
+}
+
 // end stops the watch and tells whether the target confirmed that the request
 // did not run and never will.
 func (w *watch) end() (canceled bool) {
@@ -84,30 +106,32 @@
 	return w.canceled.Load()
 }
 
-// observe counts the parts of the request body as progress.
+// observe counts the parts of the request body as progress. A caller that is
+// slow to send them does not make the link silent.
 func (w *watch) observe(request *http.Request) {
 	if request.Body != nil && w.limit > 0 {
-		request.Body = &watched{ReadCloser: request.Body, progress: w.progress}
+		request.Body = &watched{ReadCloser: request.Body, before: w.paused, after: w.waiting}
 	}
 }
 
-// body counts the parts of the answer as progress, and ends the watch with it.
+// body counts the parts of the answer as progress, and ends the watch with it. A
+// caller that is slow to take them does not make the link silent.
 func (w *watch) body(answer io.ReadCloser) io.ReadCloser {
-	w.progress()
-	return &watched{ReadCloser: answer, progress: w.progress, end: func() { w.end() }}
+	w.paused()
+	return &watched{ReadCloser: answer, before: w.waiting, after: w.paused, end: func() { w.end() }}
 }
 
+// watched calls before and after around each read.
 type watched struct {
 	io.ReadCloser
-	progress func()
-	end      func()
+	before, after func()
+	end           func()
 }
 
 func (w *watched) Read(p []byte) (int, error) {
+	w.before()
 	n, err := w.ReadCloser.Read(p)
-	if n > 0 {
-		w.progress()
-	}
+	w.after()
 	return n, err
 }
 
--- a/service/service.go
+++ b/service/service.go
@@ -63,6 +63,8 @@
 	Name    string
 	Queue   *Queue
 	Retries *RetryBudget
+	// Durations tells how long requests usually take.
+	Durations Durations
 
 	view     atomic.Pointer[View]
 	policy   Policy
