Make the policy of an instance selectable

The optional setting policy takes sed (default), rr, random, least or p2c. Each service gets a policy of its own: the turn of a round robin that several services share skips targets.

--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -53,7 +53,7 @@
 				CallerAddress: s.Callers.Advertise, PeerAddress: s.Peers.Advertise,
 			})
 		},
-		func() *service.Catalog { return service.NewCatalog(s.Zone, service.ShortestExpectedDelay{}) },
+		func() *service.Catalog { return service.NewCatalog(s.Zone, service.PolicyName(s.Policy)) },
 		func() *standing { return &standing{isolation: instance.NewIsolation(started)} },
 		telemetry.NewMetrics,
 		func(c *service.Catalog) *knownTargets { return &knownTargets{catalog: c} },
--- a/internal/bench/hop_test.go
+++ b/internal/bench/hop_test.go
@@ -82,7 +82,7 @@
 	h.nested = serve(&http.Server{Handler: http.HandlerFunc(h.serveNested), ReadHeaderTimeout: time.Minute})
 
 	ledger := contract.NewLedger("entry-1", 1, time.Now())
-	catalog := service.NewCatalog("az-1", service.ShortestExpectedDelay{})
+	catalog := service.NewCatalog("az-1", service.PolicyShortestExpectedDelay)
 	links := exchange.NewLinks(alone{}, alone{}, func(*target.Target) {})
 	DeferCleanup(links.Close)
 	Expect(catalog.Apply(config.State{Version: 1, ID: "bench", Config: h.configuration()})).To(BeTrue())
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"fulmarhoist.example/internal/standin/instancelist"
 	"fulmarhoist.example/platform"
 	"fulmarhoist.example/platformhttp"
+	"fulmarhoist.example/service"
 	"fulmarhoist.example/settings"
 )
 
@@ -30,6 +31,8 @@
 	// MaxInstances is the configured largest number; Instances if it is 0.
 	MaxInstances int
 	Services     []ServicePlan
+	// Policy is how instances choose a target; their default if it is empty.
+	Policy service.PolicyName
 	// DirectoryLifetime is how long callers keep a directory response.
 	DirectoryLifetime time.Duration
 	// Spans tells whether instances write their spans to Dir.
@@ -227,6 +230,9 @@
 		"traces":            traces,
 		"log_level":         "info",
 	}
+	if f.Plan.Policy != "" {
+		document["policy"] = f.Plan.Policy
+	}
 	data, err := json.Marshal(document)
 	if err != nil {
 		return "", fmt.Errorf("encode settings: %w", err)
@@ -318,6 +324,19 @@
 	return f.Publish(ctx, &next)
 }
 
+// RestartZone crashes the targets of an availability zone; they start again cold.
+func (f *Fleet) RestartZone(ctx context.Context, name string) error {
+	for _, t := range f.Targets {
+		if t.Zone != name {
+			continue
+		}
+		if _, err := t.Control.Restart(ctx); err != nil {
+			return fmt.Errorf("restart %s: %w", t.Name, err)
+		}
+	}
+	return nil
+}
+
 // Stop ends all processes. Frozen ones are ended as well.
 func (f *Fleet) Stop() {
 	for i := len(f.processes) - 1; i >= 0; i-- {
--- a/service/catalog.go
+++ b/service/catalog.go
@@ -95,14 +95,15 @@
 // called by one goroutine; Snapshot by any.
 type Catalog struct {
 	ownZone string
-	policy  Policy
+	policy  PolicyName
 	leaving map[string]bool           // names of targets that are leaving
 	last    map[string]*target.Target // newest target of each name, also of those that are out
 	current atomic.Pointer[Snapshot]
 }
 
-// NewCatalog returns a catalog without services for an instance in ownZone.
-func NewCatalog(ownZone string, policy Policy) *Catalog {
+// NewCatalog returns a catalog without services for an instance in ownZone. Each
+// service gets a policy of its own, since some policies keep a state.
+func NewCatalog(ownZone string, policy PolicyName) *Catalog {
 	c := &Catalog{ownZone: ownZone, policy: policy, last: make(map[string]*target.Target)}
 	c.current.Store(&Snapshot{})
 	return c
@@ -158,7 +159,7 @@
 		spec := &state.Config.Services[i]
 		s, known := old.services[spec.Name]
 		if !known || s.Queue.limit != spec.QueueLimit || s.Retries.percent != uint64(spec.RetryPercent) {
-			s = New(spec.Name, spec.QueueLimit, spec.RetryPercent, c.policy)
+			s = New(spec.Name, spec.QueueLimit, spec.RetryPercent, c.policy.New())
 		}
 		next.services[spec.Name] = s
 		s.Replace(NewView(state.Version, c.zones(old, next, spec)))
--- a/service/catalog_test.go
+++ b/service/catalog_test.go
@@ -12,7 +12,7 @@
 	// Guards against a returned target for which an old proof of warmth, kept by
 	// name and generation, still counts.
 	It("gives a returned target generations that its name never had", func() {
-		catalog := service.NewCatalog("az-1", service.ShortestExpectedDelay{})
+		catalog := service.NewCatalog("az-1", service.PolicyShortestExpectedDelay)
 		apply := func(version uint64, out bool) {
 			catalog.Apply(config.State{Version: version, Config: &config.Configuration{
 				MaxInstances: 3,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"fulmarhoist.example/config"
+	"fulmarhoist.example/service"
 	"fulmarhoist.example/settings/strictjson"
 )
 
@@ -44,6 +45,10 @@
 	// LogLevel is the least level of log lines that are written: debug, info,
 	// warn or error.
 	LogLevel string `json:"log_level"`
+	// Policy is how a target is chosen: sed (shortest expected delay), rr (round
+	// robin), random, least (least in flight) or p2c (power of two choices).
+	// Optional; sed if left out. The others are baselines for measurements.
+	Policy string `json:"policy,omitempty"`
 	// Seeds are peer addresses to try while the instance list does not answer.
 	// Optional.
 	Seeds []string `json:"seeds,omitempty"`
@@ -140,7 +145,7 @@
 
 // Parse checks the content of a settings file. The error is an *InvalidError.
 func Parse(data []byte) (*Settings, error) {
-	s := &Settings{LogRetentionMs: defaultRetentionMs}
+	s := &Settings{LogRetentionMs: defaultRetentionMs, Policy: string(service.PolicyShortestExpectedDelay)}
 	if problems := strictjson.Decode(data, s); len(problems) > 0 {
 		return nil, &InvalidError{What: "the settings file", Problems: problems}
 	}
@@ -197,6 +202,9 @@
 	default:
 		ps.Add("log_level", fmt.Sprintf("%q is not a level", config.Shorten(s.LogLevel)), "use debug, info, warn or error")
 	}
+	if !service.PolicyName(s.Policy).Known() {
+		ps.Add("policy", fmt.Sprintf("%q is not a policy", config.Shorten(s.Policy)), "use sed, rr, random, least or p2c")
+	}
 	if len(s.Seeds) > maxSeeds {
 		ps.Add("seeds", fmt.Sprintf("the list has %d entries", len(s.Seeds)), fmt.Sprintf("list at most %d", maxSeeds))
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -42,6 +42,7 @@
 		s, err := settings.Load(path)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.LogRetentionMs).To(Equal(3_600_000))
+		Expect(s.Policy).To(Equal("sed"))
 		Expect(s.Key()).To(Equal([]byte("0123456789abcdef")))
 		_, err = settings.Load(path + ".missing")
 		Expect(err).To(MatchError(os.ErrNotExist))
@@ -75,6 +76,7 @@
 		Entry("deep nesting", valid, strings.Repeat("[", 100), ""),
 		Entry("null", `"info"`, `null`, "log_level"),
 		Entry("an unknown level", `"info"`, `"loud"`, "log_level"),
+		Entry("an unknown policy", `"log_level"`, `"policy": "best", "log_level"`, "policy"),
 		Entry("one address for both", `0.0.0.0:9001`, `0.0.0.0:8001`, "peers.listen"),
 		Entry("a short key", `0123456789abcdef`, `short`, "shared_key.value"),
 		Entry("no key", `"value": "0123456789abcdef"`, ``, "shared_key"),
