standin: move the load and the records of the demo to package traffic

The measures need the same callers, load and journals as the demo. The demo keeps its scenario and its promises; nothing that it counts changes.

The specs of the demo pass, with names changed and nothing else.

--- a/internal/standin/demo/report.go
+++ b/internal/standin/demo/report.go
@@ -9,6 +9,7 @@
 
 	"fulmarhoist.example/internal/loadgen"
 	"fulmarhoist.example/internal/standin/targetserver"
+	"fulmarhoist.example/internal/standin/traffic"
 )
 
 // zoneLimit is the time after which a zone that was taken out gets no new work
@@ -18,17 +19,9 @@
 // maxExamples bounds the errors that are printed.
 const maxExamples = 5
 
-// ZoneOutage is the time for which a zone was out of service.
-type ZoneOutage struct {
-	Name string
-	// Accepted is when the publication that took it out was accepted; Back is
-	// just before the operator began to bring it back.
-	Accepted, Back time.Time
-}
-
 // Probes is what is needed to compare load probes with their budget.
 type Probes struct {
-	Before    []TargetRecord
+	Before    traffic.Records
 	Window    time.Duration
 	Instances int
 	Budget    float64 // probes per second and target, over all instances
@@ -36,11 +29,11 @@
 
 // Evidence is what callers and targets recorded.
 type Evidence struct {
-	Kinds   []kind
-	Works   []Work // of the warm-up as well
+	Kinds   []traffic.Kind
+	Works   []traffic.Work // of the warm-up as well
 	Load    *loadgen.Report
-	Targets []TargetRecord
-	Zone    ZoneOutage
+	Targets traffic.Records
+	Zone    traffic.Outage
 	Probes  Probes
 }
 
@@ -125,10 +118,10 @@
 		{Text: "works that must not be repeated and ran more than once", Count: float64(e.duplicates(runs))},
 		{Text: "works refused as not run that ran", Count: float64(e.ranAlthoughRefused(runs))},
 		{Text: "answers that belonged to another request", Count: float64(e.foreign())},
-		{Text: fmt.Sprintf("requests that reached %s later than %v after it was taken out", e.Zone.Name, zoneLimit), Count: float64(e.lateInZone())},
-		{Text: "requests cut at a target", Count: float64(e.cutAtTargets())},
+		{Text: fmt.Sprintf("requests that reached %s later than %v after it was taken out", e.Zone.Zone, zoneLimit), Count: float64(e.lateInZone())},
+		{Text: "requests cut at a target", Count: float64(e.Targets.Cut())},
 		{Text: "requests cut at a caller", Count: float64(e.cutAtCallers())},
-		{Text: "overloads of cold targets", Count: float64(e.overloads())},
+		{Text: "overloads of cold targets", Count: float64(e.Targets.Overloads())},
 		{
 			Text: "load probes to the most probed target", Count: float64(probed),
 			// Each instance may be ahead of its share by the burst of its token bucket, which is 1.
@@ -150,17 +143,17 @@
 		}
 	}
 	if e.beforeOutage() == 0 {
-		missing = append(missing, e.Zone.Name+" got no request before it was taken out")
+		missing = append(missing, e.Zone.Zone+" got no request before it was taken out")
 	}
 	if e.afterReturn() == 0 {
-		missing = append(missing, e.Zone.Name+" got no request after it was brought back")
+		missing = append(missing, e.Zone.Zone+" got no request after it was brought back")
 	}
 	return missing
 }
 
 func (e *Evidence) beforeOutage() int {
-	return e.countEntries(func(t *TargetRecord, entry *targetserver.Entry) bool {
-		return t.Zone == e.Zone.Name && entry.Arrived.Before(e.Zone.Accepted)
+	return e.Targets.Count(func(t *traffic.TargetRecord, entry *targetserver.Entry) bool {
+		return t.Zone == e.Zone.Zone && entry.Arrived.Before(e.Zone.Accepted)
 	})
 }
 
@@ -180,9 +173,9 @@
 func (e *Evidence) row(index int, runs map[string]int) Row {
 	group := &e.Load.Classes[index]
 	row := Row{
-		Kind: group.Name, Idempotent: e.Kinds[index].idempotent,
-		Answered: group.Outcomes[outcomeAnswered], NotRun: group.Outcomes[outcomeNotRun],
-		Unknown: group.Outcomes[outcomeUnknown], Failed: group.Outcomes[outcomeFailed],
+		Kind: group.Name, Idempotent: e.Kinds[index].Idempotent,
+		Answered: group.Outcomes[traffic.OutcomeAnswered], NotRun: group.Outcomes[traffic.OutcomeNotRun],
+		Unknown: group.Outcomes[traffic.OutcomeUnknown], Failed: group.Outcomes[traffic.OutcomeFailed],
 		P50: time.Duration(group.Latency.P50US) * time.Microsecond, P99: time.Duration(group.Latency.P99US) * time.Microsecond,
 		NotStarted: group.NotStarted,
 	}
@@ -194,7 +187,7 @@
 	return row
 }
 
-func (e *Evidence) countWorks(counts func(*Work) bool) int {
+func (e *Evidence) countWorks(counts func(*traffic.Work) bool) int {
 	count := 0
 	for i := range e.Works {
 		if counts(&e.Works[i]) {
@@ -205,70 +198,35 @@
 }
 
 func (e *Evidence) duplicates(runs map[string]int) int {
-	return e.countWorks(func(w *Work) bool { return !e.Kinds[w.Kind].idempotent && runs[w.Path] > 1 })
+	return e.countWorks(func(w *traffic.Work) bool { return !e.Kinds[w.Kind].Idempotent && runs[w.Path] > 1 })
 }
 
 func (e *Evidence) ranAlthoughRefused(runs map[string]int) int {
-	return e.countWorks(func(w *Work) bool { return w.Outcome == outcomeNotRun && runs[w.Path] > 0 })
+	return e.countWorks(func(w *traffic.Work) bool { return w.Outcome == traffic.OutcomeNotRun && runs[w.Path] > 0 })
 }
 
-func (e *Evidence) foreign() int { return e.countWorks(func(w *Work) bool { return w.Foreign }) }
-
-func (e *Evidence) cutAtCallers() int { return e.countWorks(func(w *Work) bool { return w.Cut }) }
-
-func (e *Evidence) countEntries(counts func(*TargetRecord, *targetserver.Entry) bool) int {
-	count := 0
-	for i := range e.Targets {
-		for n := range e.Targets[i].Journal.Entries {
-			if counts(&e.Targets[i], &e.Targets[i].Journal.Entries[n]) {
-				count++
-			}
-		}
-	}
-	return count
+func (e *Evidence) foreign() int {
+	return e.countWorks(func(w *traffic.Work) bool { return w.Foreign })
 }
 
-// cutAtTargets counts requests that ran and did not come to their end.
-func (e *Evidence) cutAtTargets() int {
-	return e.countEntries(func(_ *TargetRecord, entry *targetserver.Entry) bool {
-		return entry.Ran() && entry.Outcome != targetserver.OutcomeAnswered
-	})
+func (e *Evidence) cutAtCallers() int {
+	return e.countWorks(func(w *traffic.Work) bool { return w.Cut })
 }
 
 func (e *Evidence) lateInZone() int {
 	limit := e.Zone.Accepted.Add(zoneLimit)
-	return e.countEntries(func(t *TargetRecord, entry *targetserver.Entry) bool {
-		return t.Zone == e.Zone.Name && entry.Arrived.After(limit) && entry.Arrived.Before(e.Zone.Back)
+	return e.Targets.Count(func(t *traffic.TargetRecord, entry *targetserver.Entry) bool {
+		return t.Zone == e.Zone.Zone && entry.Arrived.After(limit) && entry.Arrived.Before(e.Zone.Back)
 	})
 }
 
-// lastInZone is when the zone got its last request, after it was taken out.
-func (e *Evidence) lastInZone() time.Duration {
-	last := time.Duration(0)
-	e.countEntries(func(t *TargetRecord, entry *targetserver.Entry) bool {
-		if t.Zone == e.Zone.Name && entry.Arrived.Before(e.Zone.Back) {
-			last = max(last, entry.Arrived.Sub(e.Zone.Accepted))
-		}
-		return false
-	})
-	return last
-}
-
 // afterReturn counts the requests that the zone got after it was brought back.
 func (e *Evidence) afterReturn() int {
-	return e.countEntries(func(t *TargetRecord, entry *targetserver.Entry) bool {
-		return t.Zone == e.Zone.Name && entry.Arrived.After(e.Zone.Back)
+	return e.Targets.Count(func(t *traffic.TargetRecord, entry *targetserver.Entry) bool {
+		return t.Zone == e.Zone.Zone && entry.Arrived.After(e.Zone.Back)
 	})
 }
 
-func (e *Evidence) overloads() int64 {
-	var sum int64
-	for i := range e.Targets {
-		sum += e.Targets[i].Journal.Counters.OverloadsWhileCold
-	}
-	return sum
-}
-
 func (e *Evidence) dropped() int64 {
 	var sum int64
 	for i := range e.Targets {
@@ -291,7 +249,7 @@
 		fmt.Sprintf("Load probes: %.2f/s to the most probed target; the budget is %.2f/s per target.",
 			float64(probed)/e.Probes.Window.Seconds(), e.Probes.Budget),
 		fmt.Sprintf("%s got its last request %v after the publication was accepted, and %d requests after it was brought back.",
-			e.Zone.Name, e.lastInZone().Round(time.Millisecond), e.afterReturn()),
+			e.Zone.Zone, e.Targets.LastIn(e.Zone).Round(time.Millisecond), e.afterReturn()),
 	}
 	notes = append(notes, e.overloadNotes()...)
 	return append(notes, e.failureNotes()...)
@@ -314,7 +272,7 @@
 		if len(notes) == maxExamples {
 			continue
 		}
-		note := fmt.Sprintf("Example of a request without an answer: %s, %s: %s", e.Kinds[w.Kind].name(), w.Outcome, w.Failure)
+		note := fmt.Sprintf("Example of a request without an answer: %s, %s: %s", e.Kinds[w.Kind].Name(), w.Outcome, w.Failure)
 		if !slices.Contains(notes, note) {
 			notes = append(notes, note)
 		}
@@ -332,14 +290,14 @@
 		t := &e.Targets[i]
 		for _, overload := range t.Journal.Overloads {
 			notes = append(notes, fmt.Sprintf("Cold target %s had %d requests inside %.3f s after %s was brought back; requests to this process came from %s.",
-				t.Name, overload.Inside, overload.At.Sub(e.Zone.Back).Seconds(), e.Zone.Name, strings.Join(senders(t, overload), ", ")))
+				t.Name, overload.Inside, overload.At.Sub(e.Zone.Back).Seconds(), e.Zone.Zone, strings.Join(senders(t, overload), ", ")))
 		}
 	}
 	return notes
 }
 
 // senders lists the instances that sent to the overloaded process.
-func senders(t *TargetRecord, overload targetserver.Overload) []string {
+func senders(t *traffic.TargetRecord, overload targetserver.Overload) []string {
 	count := map[string]int{}
 	for i := range t.Journal.Entries {
 		if entry := &t.Journal.Entries[i]; entry.BootID == overload.BootID {
--- a/internal/standin/demo/report_test.go
+++ b/internal/standin/demo/report_test.go
@@ -10,6 +10,7 @@
 
 	"fulmarhoist.example/internal/loadgen"
 	"fulmarhoist.example/internal/standin/targetserver"
+	"fulmarhoist.example/internal/standin/traffic"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -25,19 +26,19 @@
 // goodRun has two targets; the zone az-2 is out from second 5 to second 10.
 func goodRun() *Evidence {
 	group := func(name string) loadgen.Group {
-		return loadgen.Group{Name: name, Counts: loadgen.Counts{Outcomes: map[string]int{outcomeAnswered: 2}}}
+		return loadgen.Group{Name: name, Counts: loadgen.Counts{Outcomes: map[string]int{traffic.OutcomeAnswered: 2}}}
 	}
 	return &Evidence{
-		Kinds: []kind{{service: "orders", class: "status", idempotent: true}, {service: "orders", class: "reorder"}},
-		Works: []Work{
-			{Path: "/s/1", Kind: 0, Outcome: outcomeAnswered},
-			{Path: "/s/2", Kind: 0, Outcome: outcomeAnswered},
-			{Path: "/r/1", Kind: 1, Outcome: outcomeAnswered},
-			{Path: "/r/2", Kind: 1, Outcome: outcomeAnswered},
-			{Path: "/r/3", Kind: 1, Outcome: outcomeNotRun},
+		Kinds: []traffic.Kind{{Service: "orders", Class: "status", Idempotent: true}, {Service: "orders", Class: "reorder"}},
+		Works: []traffic.Work{
+			{Path: "/s/1", Kind: 0, Outcome: traffic.OutcomeAnswered},
+			{Path: "/s/2", Kind: 0, Outcome: traffic.OutcomeAnswered},
+			{Path: "/r/1", Kind: 1, Outcome: traffic.OutcomeAnswered},
+			{Path: "/r/2", Kind: 1, Outcome: traffic.OutcomeAnswered},
+			{Path: "/r/3", Kind: 1, Outcome: traffic.OutcomeNotRun},
 		},
 		Load: &loadgen.Report{Classes: []loadgen.Group{group("orders/status"), group("orders/reorder")}},
-		Targets: []TargetRecord{
+		Targets: traffic.Records{
 			{Name: "orders-1", Zone: "az-1", Journal: targetserver.Journal{
 				Entries: []targetserver.Entry{ran("/s/1", 9), ran("/r/1", 9)},
 			}},
@@ -48,8 +49,8 @@
 				},
 			}},
 		},
-		Zone:   ZoneOutage{Name: "az-2", Accepted: at(5), Back: at(10)},
-		Probes: Probes{Before: make([]TargetRecord, 2), Window: 10 * time.Second, Instances: 3, Budget: 2},
+		Zone:   traffic.Outage{Zone: "az-2", Accepted: at(5), Back: at(10)},
+		Probes: Probes{Before: make(traffic.Records, 2), Window: 10 * time.Second, Instances: 3, Budget: 2},
 	}
 }
 
--- a/internal/standin/demo/sender.go
+++ b/internal/standin/traffic/sender.go
@@ -1,4 +1,4 @@
-package demo
+package traffic
 
 import (
 	"bytes"
@@ -16,18 +16,10 @@
 // Outcomes that the report counts; every other outcome of the caller's library
 // counts as failed.
 const (
-	outcomeAnswered = loadgen.OutcomeAnswered
-	outcomeNotRun   = "not-run"
-	outcomeUnknown  = "unknown"
-	outcomeFailed   = "failed"
-)
-
-// phase is a part of the load; the paths of works contain it.
-type phase string
-
-const (
-	phaseWarmUp phase = "warm-up"
-	phaseRun    phase = "run"
+	OutcomeAnswered = loadgen.OutcomeAnswered
+	OutcomeNotRun   = "not-run"
+	OutcomeUnknown  = "unknown"
+	OutcomeFailed   = "failed"
 )
 
 // Work is one piece of work as its caller saw it. Its path is unique and reaches
@@ -35,7 +27,7 @@
 // under several keys or under none.
 type Work struct {
 	Path    string
-	Phase   phase
+	Phase   string
 	Kind    int // index into the kinds of the load
 	Outcome string
 	// Cut tells that an answer broke off, or that a connection broke after the
@@ -47,25 +39,27 @@
 	Failure string
 }
 
-// sender sends works through one caller per availability zone.
-type sender struct {
-	kinds  []kind
-	phase  phase
+// Sender sends works through one caller per availability zone.
+type Sender struct {
+	Kinds []Kind
+	// Phase is the part of the load that is sent now; the paths of works contain it.
+	Phase  string
 	zones  []*caller.Client
 	mu     sync.Mutex
 	record []Work
 }
 
-func newSender(f *fleet.Fleet, kinds []kind) (*sender, error) {
-	s := &sender{kinds: kinds}
+// NewSender returns a sender with a caller in each zone of the deployment.
+func NewSender(f *fleet.Fleet, kinds []Kind) (*Sender, error) {
+	s := &Sender{Kinds: kinds}
 	addresses := make([]string, 0, len(f.Instances))
 	for _, i := range f.Instances {
 		addresses = append(addresses, i.Callers)
 	}
 	for _, zone := range f.Plan.Zones {
-		client, err := caller.New(caller.Options{Instances: addresses, Zone: zone, Deadline: deadline, IdleConnections: 256})
+		client, err := caller.New(caller.Options{Instances: addresses, Zone: zone, Deadline: Deadline, IdleConnections: 256})
 		if err != nil {
-			s.close()
+			s.Close()
 			return nil, fmt.Errorf("make a caller in %s: %w", zone, err)
 		}
 		s.zones = append(s.zones, client)
@@ -73,16 +67,17 @@
 	return s, nil
 }
 
-func (s *sender) close() {
+// Close ends the connections of the callers.
+func (s *Sender) Close() {
 	for _, client := range s.zones {
 		client.Close()
 	}
 }
 
 // Send implements loadgen.Sender.
-func (s *sender) Send(ctx context.Context, shot loadgen.Shot) loadgen.Answer {
-	k := &s.kinds[shot.Class]
-	work := Work{Path: fmt.Sprintf("/%s/%s/%d", k.name(), s.phase, shot.Number), Phase: s.phase, Kind: shot.Class}
+func (s *Sender) Send(ctx context.Context, shot loadgen.Shot) loadgen.Answer {
+	k := &s.Kinds[shot.Class]
+	work := Work{Path: fmt.Sprintf("/%s/%s/%d", k.Name(), s.Phase, shot.Number), Phase: s.Phase, Kind: shot.Class}
 	response, err := s.zones[shot.Number%len(s.zones)].Do(ctx, k.request(work.Path))
 	work.Outcome = outcomeOf(response, err)
 	answer := loadgen.Answer{Outcome: work.Outcome}
@@ -98,8 +93,8 @@
 	return answer
 }
 
-// works returns everything that was sent. It is called after the load has ended.
-func (s *sender) works() []Work {
+// Works returns everything that was sent. It is called after the load has ended.
+func (s *Sender) Works() []Work {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.record
@@ -107,12 +102,12 @@
 
 func outcomeOf(response *caller.Response, err error) string {
 	switch outcome := caller.OutcomeOf(err); {
-	case outcome == outcomeAnswered && response.Status >= http.StatusInternalServerError:
-		return outcomeFailed
-	case outcome == outcomeAnswered, outcome == outcomeNotRun, outcome == outcomeUnknown:
+	case outcome == OutcomeAnswered && response.Status >= http.StatusInternalServerError:
+		return OutcomeFailed
+	case outcome == OutcomeAnswered, outcome == OutcomeNotRun, outcome == OutcomeUnknown:
 		return outcome
 	default:
-		return outcomeFailed
+		return OutcomeFailed
 	}
 }
 
