standin measure: tail latency, cost of load measurement, zone outage

Measures the three figures of docs/design.md, section 1.3, on deployments of separate processes, as tables or JSON.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 export CGO_ENABLED := 1
 
-.PHONY: build test demo lint fmt bench clean
+.PHONY: build test demo measure lint fmt bench clean
 
 build:
 	go build -o $(BIN)/ ./cmd/... ./internal/standin/cmd/...
@@ -21,6 +21,9 @@
 demo: build
 	$(BIN)/standin demo --bin $(BIN)
 
+measure: build
+	$(BIN)/standin measure --bin $(BIN) --output json > bench/measures.json
+
 bench:
 	FULMARHOIST_BENCH_RESULTS=$(CURDIR)/bench/results.json go test -count=1 -v ./internal/bench/ -ginkgo.no-color
 	go test -run '^$$' -bench . -benchmem ./...
--- a/internal/standin/cmd/standin/main.go
+++ b/internal/standin/cmd/standin/main.go
@@ -29,7 +29,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newTargetCommand(), newLogCommand(), newListCommand(), newRelayCommand(), newDemoCommand())
+	root.AddCommand(newTargetCommand(), newLogCommand(), newListCommand(), newRelayCommand(), newDemoCommand(), newMeasureCommand())
 	return root
 }
 
--- a/internal/standin/demo/report.go
+++ b/internal/standin/demo/report.go
@@ -145,7 +145,7 @@
 	if e.beforeOutage() == 0 {
 		missing = append(missing, e.Zone.Zone+" got no request before it was taken out")
 	}
-	if e.afterReturn() == 0 {
+	if e.Targets.AfterReturn(e.Zone) == 0 {
 		missing = append(missing, e.Zone.Zone+" got no request after it was brought back")
 	}
 	return missing
@@ -220,13 +220,6 @@
 	})
 }
 
-// afterReturn counts the requests that the zone got after it was brought back.
-func (e *Evidence) afterReturn() int {
-	return e.Targets.Count(func(t *traffic.TargetRecord, entry *targetserver.Entry) bool {
-		return t.Zone == e.Zone.Zone && entry.Arrived.After(e.Zone.Back)
-	})
-}
-
 func (e *Evidence) dropped() int64 {
 	var sum int64
 	for i := range e.Targets {
@@ -249,7 +242,7 @@
 		fmt.Sprintf("Load probes: %.2f/s to the most probed target; the budget is %.2f/s per target.",
 			float64(probed)/e.Probes.Window.Seconds(), e.Probes.Budget),
 		fmt.Sprintf("%s got its last request %v after the publication was accepted, and %d requests after it was brought back.",
-			e.Zone.Zone, e.Targets.LastIn(e.Zone).Round(time.Millisecond), e.afterReturn()),
+			e.Zone.Zone, e.Targets.LastIn(e.Zone).Round(time.Millisecond), e.Targets.AfterReturn(e.Zone)),
 	}
 	notes = append(notes, e.overloadNotes()...)
 	return append(notes, e.failureNotes()...)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -52,6 +52,8 @@
 	Mean        time.Duration // service time
 	Spread      time.Duration
 	Cold        config.ColdStart
+	// LoadLag is the age of the load that the load endpoints of the targets report.
+	LoadLag time.Duration
 	// Seed makes the service times repeatable.
 	Seed uint64
 }
@@ -164,7 +166,8 @@
 	}
 	p, ready, err := f.start(t.Name, "standin", "target",
 		"--service", s.Name, "--slots", fmt.Sprint(s.Slots), "--mean", s.Mean.String(), "--spread", s.Spread.String(),
-		"--seed", fmt.Sprint(s.Seed+uint64(i)), "--cold-for", (s.Cold.Duration() * 9 / 10).String(), "--cold-bears", fmt.Sprint(s.Cold.Bears))
+		"--seed", fmt.Sprint(s.Seed+uint64(i)), "--cold-for", (s.Cold.Duration() * 9 / 10).String(), "--cold-bears", fmt.Sprint(s.Cold.Bears),
+		"--load-lag", s.LoadLag.String())
 	if err != nil {
 		return err
 	}
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -123,6 +123,16 @@
 // Ended is closed when the process has ended.
 func (p *Process) Ended() <-chan struct{} { return p.ended }
 
+// HasEnded tells whether the process has ended.
+func (p *Process) HasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // Wait waits for the end of the process and returns its exit error.
 func (p *Process) Wait(ctx context.Context) error {
 	select {
--- /dev/null
+++ b/internal/standin/measure/latency.go
@@ -0,0 +1,55 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"fulmarhoist.example/internal/loadgen"
+	"fulmarhoist.example/internal/standin/traffic"
+)
+
+// Row is the result of one class in one part of a measure. Latencies are those
+// of answered requests, in milliseconds from the time at which they were due.
+type Row struct {
+	Policy   string  `json:"policy"`
+	Part     string  `json:"part"`
+	Class    string  `json:"class"`
+	Answered int     `json:"answered"`
+	NotRun   int     `json:"not_run"`
+	Unknown  int     `json:"unknown"`
+	Failed   int     `json:"failed"`
+	NotSent  int     `json:"not_sent"`
+	P50      float64 `json:"p50_ms"`
+	P99      float64 `json:"p99_ms"`
+	P999     float64 `json:"p99_9_ms"`
+}
+
+func rowOf(d *deployment, part string, group *loadgen.Group) Row {
+	return Row{
+		Policy: string(d.policy), Part: part, Class: group.Name,
+		Answered: group.Outcomes[traffic.OutcomeAnswered], NotRun: group.Outcomes[traffic.OutcomeNotRun],
+		Unknown: group.Outcomes[traffic.OutcomeUnknown], Failed: group.Outcomes[traffic.OutcomeFailed],
+		NotSent: group.NotStarted,
+		P50:     fromMicros(group.Latency.P50US), P99: fromMicros(group.Latency.P99US), P999: fromMicros(group.Latency.P999US),
+	}
+}
+
+// rowsOf gives a row per class and one over all classes.
+func rowsOf(d *deployment, part string, report *loadgen.Report) []Row {
+	rows := make([]Row, 0, len(report.Classes)+1)
+	for i := range report.Classes {
+		rows = append(rows, rowOf(d, part, &report.Classes[i]))
+	}
+	return append(rows, rowOf(d, part, &report.Total))
+}
+
+func fromMicros(us int64) float64 { return float64(us) / 1000 }
+
+func millis(d time.Duration) float64 { return fromMicros(d.Microseconds()) }
+
+const rowHeader = "PART\tCLASS\tPOLICY\tANSWERED\tNOT RUN\tUNKNOWN\tFAILED\tNOT SENT\tP50 MS\tP99 MS\tP99.9 MS\t"
+
+func (r *Row) String() string {
+	return fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t", r.Part, r.Class, r.Policy,
+		r.Answered, r.NotRun, r.Unknown, r.Failed, r.NotSent, r.P50, r.P99, r.P999)
+}
--- /dev/null
+++ b/internal/standin/measure/zones.go
@@ -0,0 +1,164 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"fulmarhoist.example/config"
+	"fulmarhoist.example/internal/standin/fleet"
+	"fulmarhoist.example/internal/standin/traffic"
+	"fulmarhoist.example/service"
+)
+
+const (
+	zonesInstances = 5
+	zonesShare     = 0.5
+	zonesLength    = 5 * time.Second // of each part
+	zoneOut        = "az-2"
+	// zonesService is longer than that of the other measures, so that the rate
+	// stays one that a small machine bears.
+	zonesService = 40 * time.Millisecond
+	zonesSpread  = 16 * time.Millisecond
+)
+
+// ZonesResult is the quality of service while a zone leaves and returns.
+type ZonesResult struct {
+	Instances int         `json:"instances"`
+	Load      float64     `json:"load"` // share of the capacity with all zones
+	Zone      string      `json:"zone"`
+	Rows      []Row       `json:"rows"`
+	Outages   []OutageRow `json:"outages"`
+}
+
+// OutageRow tells what became of the requests of one policy.
+type OutageRow struct {
+	Policy string `json:"policy"`
+	// NoNewWorkAfter is the time from the accepted publication to the last
+	// request that reached the zone, in seconds.
+	NoNewWorkAfter float64 `json:"no_new_work_after_s"`
+	CutAtTargets   int     `json:"cut_at_targets"`
+	CutAtCallers   int     `json:"cut_at_callers"`
+	Overloads      int64   `json:"overloads_of_cold_targets"`
+	AfterReturn    int     `json:"requests_after_return"`
+}
+
+// returnsPlan has the shape of the returns association.
+func returnsPlan(s *Settings, policy service.PolicyName) fleet.Plan {
+	of := func(name string, targets int, classes ...config.Class) fleet.ServicePlan {
+		return fleet.ServicePlan{
+			Name: name, Targets: targets, Slots: 4, Connections: 200,
+			Mean: zonesService, Spread: zonesSpread, Seed: s.Seed + seedOfTargets, LoadLag: loadLag,
+			Cold:    config.ColdStart{Bears: 3, DurationMs: int(coldFor.Milliseconds()), Answers: coldAnswers},
+			Classes: classes,
+		}
+	}
+	return fleet.Plan{
+		Zones: []string{"az-1", "az-2", "az-3", "az-4"}, Instances: zonesInstances, Policy: policy,
+		Services: []fleet.ServicePlan{
+			of(
+				"returns-desk", 13,
+				traffic.Class("balance", config.PriorityInteractive, true),
+				traffic.Class("refund", config.PriorityInteractive, false),
+				traffic.Class("booking", config.PriorityInteractive, false),
+			),
+			of(
+				"archive", 11,
+				traffic.Class("manifest", config.PriorityUpload, false),
+				traffic.Class("history", config.PriorityDeferrable, true),
+			),
+		},
+	}
+}
+
+func returnsMix() []traffic.Kind {
+	return []traffic.Kind{
+		{Service: "returns-desk", Class: "balance", Idempotent: true, Method: "GET", Weight: 80},
+		{Service: "returns-desk", Class: "refund", Method: "POST", Body: []byte(`{"packs":3}`), Weight: 30},
+		{Service: "returns-desk", Class: "booking", Method: "POST", Body: []byte(`{"crates":2}`), Weight: 20},
+		{Service: "archive", Class: "manifest", Method: "PUT", Body: make([]byte, scanBytes), Weight: 20},
+		{Service: "archive", Class: "history", Idempotent: true, Method: "GET", Weight: 90},
+	}
+}
+
+// Zones measures a zone that is taken out of service and brought back, with the
+// first two policies, one deployment after the other.
+func Zones(ctx context.Context, s *Settings) (Result, error) {
+	result := &ZonesResult{Instances: zonesInstances, Load: zonesShare, Zone: zoneOut}
+	for _, policy := range s.Policies[:min(2, len(s.Policies))] {
+		if err := result.add(ctx, s, policy); err != nil {
+			return nil, fmt.Errorf("with %s: %w", policy, err)
+		}
+	}
+	return result, nil
+}
+
+func (r *ZonesResult) add(ctx context.Context, s *Settings, policy service.PolicyName) error {
+	d, err := start(ctx, s, returnsPlan(s, policy), returnsMix())
+	if err != nil {
+		return err
+	}
+	defer d.stop()
+	outage := traffic.Outage{Zone: zoneOut}
+	for number, part := range []struct {
+		name    string
+		operate func(context.Context) error
+	}{
+		{"before", func(context.Context) error { return nil }},
+		{"during", func(ctx context.Context) error {
+			err := d.fleet.SetZoneOut(ctx, zoneOut, true)
+			outage.Accepted = time.Now()
+			return err
+		}},
+		{"after", func(ctx context.Context) error {
+			outage.Back = time.Now()
+			if err := d.fleet.RestartZone(ctx, zoneOut); err != nil {
+				return err
+			}
+			return d.fleet.SetZoneOut(ctx, zoneOut, false)
+		}},
+	} {
+		s.say("zones: %s, %s", part.name, policy)
+		d.sender.Phase = part.name
+		load := traffic.Load{Rate: zonesShare * d.rate, Length: zonesLength, Seed: s.Seed + uint64(number)}
+		report, err := d.sender.SendLoadWhile(ctx, load, part.operate)
+		if err != nil {
+			return fmt.Errorf("load %s: %w", part.name, err)
+		}
+		r.Rows = append(r.Rows, rowsOf(d, part.name, report)...)
+	}
+	records, err := traffic.ReadRecords(ctx, d.fleet)
+	if err != nil {
+		return err
+	}
+	row := OutageRow{
+		Policy: string(policy), NoNewWorkAfter: records.LastIn(outage).Seconds(),
+		CutAtTargets: records.Cut(), Overloads: records.Overloads(), AfterReturn: records.AfterReturn(outage),
+	}
+	for _, w := range d.sender.Works() {
+		if w.Cut {
+			row.CutAtCallers++
+		}
+	}
+	r.Outages = append(r.Outages, row)
+	return nil
+}
+
+func (r *ZonesResult) print(out io.Writer) error {
+	_, _ = fmt.Fprintf(out, "\n4 zones, %s out, 13 and 11 targets with 4 slots, %d instances, load %.0f%%\n", r.Zone, r.Instances, 100*r.Load)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, rowHeader)
+	for i := range r.Rows {
+		_, _ = fmt.Fprintln(w, r.Rows[i].String())
+	}
+	_, _ = fmt.Fprintln(w, "\nPOLICY\tNO NEW WORK AFTER S\tCUT AT TARGETS\tCUT AT CALLERS\tOVERLOADS OF COLD TARGETS\tREQUESTS AFTER RETURN\t")
+	for _, o := range r.Outages {
+		_, _ = fmt.Fprintf(w, "%s\t%.3f\t%d\t%d\t%d\t%d\t\n", o.Policy, o.NoNewWorkAfter, o.CutAtTargets, o.CutAtCallers, o.Overloads, o.AfterReturn)
+	}
+	if err := w.Flush(); err != nil {
+		return fmt.Errorf("print the outages: %w", err)
+	}
+	return nil
+}
--- a/internal/standin/traffic/records.go
+++ b/internal/standin/traffic/records.go
@@ -18,10 +18,15 @@
 // Records are the journals of all targets.
 type Records []TargetRecord
 
-// ReadRecords reads the journals of all targets.
+// ReadRecords reads the journals of all targets. The journal of a target whose
+// process has ended is gone with it, and is empty here.
 func ReadRecords(ctx context.Context, f *fleet.Fleet) (Records, error) {
 	records := make(Records, 0, len(f.Targets))
 	for _, t := range f.Targets {
+		if t.HasEnded() {
+			records = append(records, TargetRecord{Name: t.Name, Zone: t.Zone})
+			continue
+		}
 		journal, err := t.Control.Journal(ctx)
 		if err != nil {
 			return nil, fmt.Errorf("read the journal of %s: %w", t.Name, err)
@@ -72,6 +77,13 @@
 	return last
 }
 
+// AfterReturn counts the requests that the zone got after it was brought back.
+func (r Records) AfterReturn(out Outage) int {
+	return r.Count(func(t *TargetRecord, entry *targetserver.Entry) bool {
+		return t.Zone == out.Zone && entry.Arrived.After(out.Back)
+	})
+}
+
 // Overloads counts the overloads of cold targets.
 func (r Records) Overloads() int64 {
 	var sum int64
--- a/internal/standin/traffic/sender.go
+++ b/internal/standin/traffic/sender.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 
 	"fulmarhoist.example/caller"
 	"fulmarhoist.example/internal/loadgen"
@@ -35,6 +36,8 @@
 	Cut bool
 	// Foreign tells that the answer belonged to another piece of work.
 	Foreign bool
+	// Took is the time from the start of the request to its end.
+	Took time.Duration
 	// Failure is the error of the caller's library, for the detail lines.
 	Failure string
 }
@@ -78,7 +81,9 @@
 func (s *Sender) Send(ctx context.Context, shot loadgen.Shot) loadgen.Answer {
 	k := &s.Kinds[shot.Class]
 	work := Work{Path: fmt.Sprintf("/%s/%s/%d", k.Name(), s.Phase, shot.Number), Phase: s.Phase, Kind: shot.Class}
+	began := time.Now()
 	response, err := s.zones[shot.Number%len(s.zones)].Do(ctx, k.request(work.Path))
+	work.Took = time.Since(began)
 	work.Outcome = outcomeOf(response, err)
 	answer := loadgen.Answer{Outcome: work.Outcome}
 	if err != nil {
