--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -51,7 +51,7 @@
 	for i, address := range addresses {
 		s.Targets = append(s.Targets, config.Target{Name: string(rune('a' + i)), Address: address, Zone: "az-1", Slots: 2, Connections: 10})
 	}
-	d := &deployment{catalog: service.NewCatalog("az-1", service.ShortestExpectedDelay{}), helper: &alone{}}
+	d := &deployment{catalog: service.NewCatalog("az-1", service.PolicyShortestExpectedDelay), helper: &alone{}}
 	d.links = exchange.NewLinks(d.helper, d.helper, func(*target.Target) {})
 	DeferCleanup(d.links.Close)
 	d.catalog.Apply(config.State{Version: 1, Config: &config.Configuration{
--- a/internal/bench/capacity/state_bench_test.go
+++ b/internal/bench/capacity/state_bench_test.go
@@ -20,7 +20,7 @@
 var start = time.Unix(1_764_000_000, 0)
 
 func catalogOf(s shape) *service.Catalog {
-	c := service.NewCatalog("az-1", service.ShortestExpectedDelay{})
+	c := service.NewCatalog("az-1", service.PolicyShortestExpectedDelay)
 	c.Apply(config.State{Version: 1, ID: "capacity", Config: s.configuration()})
 	return c
 }
