exchange: accept a cancellation only from the process that got the request

Cause: the cancellation of a request that must not run twice goes over a new connection. After a restart behind a silent link it reaches the next process, which never saw the attempt and confirms; the request was reported as not run although the first process may have run it. Change: a link keeps the boot id of the answers on its connection, a set the first one of each generation. A confirmation counts if it carries that boot id; without a known one no cancellation counts. A link also closes if bytes arrive before its first request: a 408 on an unused connection was passed on as the answer to the next request.

--- /dev/null
+++ b/exchange/cancel_test.go
@@ -0,0 +1,43 @@
+package exchange_test
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/contract"
+)
+
+var _ = Describe("Cancellation", func() {
+	// Guards against "not run" for a request that ran in a process that has
+	// ended: its successor at the same address never saw the request and says so.
+	DescribeTable("counts only if the process that got the request confirms it",
+		func(ctx SpecContext, confirmedBy string, outcome contract.Outcome) {
+			var runs atomic.Int32
+			r := newRig(1, func(w http.ResponseWriter, request *http.Request) {
+				w.Header().Set("Fulmarhoist-Boot-Id", "a")
+				switch request.URL.Path {
+				case "/fulmarhoist-cancel":
+					w.Header().Set("Fulmarhoist-Boot-Id", confirmedBy)
+					w.Header().Set("Fulmarhoist-Not-Run", "1")
+				case "/refund":
+					runs.Add(1)
+					<-request.Context().Done()
+				}
+			})
+			_, refusal := r.exchange(once(time.Second)).Run(ctx, get("/first"))
+			Expect(refusal).To(BeNil())
+			_, refusal = r.exchange(once(time.Second)).Run(context.WithoutCancel(ctx), get("/refund"))
+			Expect(refusal).NotTo(BeNil())
+			Expect(refusal.Outcome).To(Equal(outcome), refusal.Error())
+			Expect(runs.Load()).To(Equal(int32(1)))
+		},
+		Entry("the same process", "a", contract.OutcomeNotRun),
+		Entry("a later process", "b", contract.OutcomeUnknown),
+		Entry("an unnamed process", "", contract.OutcomeUnknown),
+	)
+})
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -56,10 +56,12 @@
 	}
 	left := time.Until(s.x.Contract.Terms.Deadline)
 	w.asking = make(chan struct{})
-	address := s.permit.Target.Spec.Address
+	question := cancellation{
+		address: s.permit.Target.Spec.Address, attemptID: attemptID, bootID: s.set.BootID(s.link),
+	}
 	w.timer = time.AfterFunc(left-min(cancelMargin, left/4), func() {
 		defer close(w.asking)
-		if confirmCanceled(address, attemptID) {
+		if question.confirmed() {
 			w.canceled.Store(true)
 			w.cancel()
 		}
@@ -119,21 +121,34 @@
 	return err
 }
 
-// confirmCanceled asks a target over a new connection to cancel an attempt. The
-// result is true only if the target says that it had not started.
-func confirmCanceled(address, attemptID string) bool {
+// cancellation is the question to a target to cancel an attempt.
+type cancellation struct {
+	address   string
+	attemptID string
+	bootID    string // of the process that the attempt was sent to
+}
+
+// confirmed asks over a new connection. The result is true only if the process
+// that the attempt was sent to says that it had not started. One that started
+// later at the same address has never seen the attempt, and its word says
+// nothing about the process before it.
+func (c *cancellation) confirmed() bool {
+	if c.bootID == "" {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: true}
 	request := &http.Request{
 		Method: http.MethodPost,
-		URL:    &url.URL{Scheme: "http", Host: address, Path: cancelPath},
-		Header: http.Header{headerAttemptID: {attemptID}},
+		URL:    &url.URL{Scheme: "http", Host: c.address, Path: cancelPath},
+		Header: http.Header{headerAttemptID: {c.attemptID}},
 	}
 	response, err := transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return false
 	}
 	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK && response.Header.Get(headerNotRun) != ""
+	return response.StatusCode == http.StatusOK && response.Header.Get(headerNotRun) != "" &&
+		response.Header.Get(headerBootID) == c.bootID
 }
--- a/link/link.go
+++ b/link/link.go
@@ -36,6 +36,16 @@
 	return fmt.Sprintf("the only connection of the link to %s is closed", e.Address)
 }
 
+// UnsolicitedError reports a target that sent bytes before any request. They
+// would be taken as the answer to the first request.
+type UnsolicitedError struct {
+	Address string
+}
+
+func (e *UnsolicitedError) Error() string {
+	return fmt.Sprintf("target at %s sent bytes before a request", e.Address)
+}
+
 // DialError reports a connection that could not be opened.
 type DialError struct {
 	Address string
@@ -59,7 +69,8 @@
 	transport *http.Transport
 	trusted   atomic.Bool
 	work      atomic.Pointer[Work]
-	provedAt  atomic.Int64 // when the connection was last known to work, Unix nanoseconds
+	bootID    atomic.Pointer[string] // process that has answered on the connection
+	provedAt  atomic.Int64           // when the connection was last known to work, Unix nanoseconds
 }
 
 // Work is a request on a link. Fingerprint is called only if the connection
@@ -129,6 +140,8 @@
 		// RoundTrip may return while a write is about to start. A write that
 		// starts after Close emits nothing, so only the count after Close tells.
 		l.Close()
+	} else if id := response.Header.Get(headerBootID); id != "" {
+		l.bootID.Store(&id)
 	}
 	return response, l.conn.writes.Load() != before, err
 }
@@ -168,6 +181,10 @@
 	var data [1]byte
 	n, err := c.Conn.Read(data[:])
 	c.reads.Add(int64(n))
+	if err == nil && c.writes.Load() == 0 {
+		n, err = 0, &UnsolicitedError{Address: c.RemoteAddr().String()}
+		_ = c.Conn.Close()
+	}
 	if err != nil {
 		c.end()
 	}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -184,3 +184,21 @@
 		Expect(generation).To(BeNumerically(">", 1))
 	})
 })
+
+var _ = Describe("Link that got bytes before a request", func() {
+	// Guards against a target that ends an unused connection with a response of
+	// its own, such as 408, which the first request would get as its answer.
+	It("carries no request", func(ctx SpecContext) {
+		s := newServer(func(_ int32, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n")
+		})
+		broken := make(chan *link.Link, 1)
+		l, err := link.Open(ctx, s.address(), 1, func(l *link.Link) { broken <- l })
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(broken).Should(Receive())
+		Expect(l.Alive()).To(BeFalse())
+		_, sent, err := l.Send(get(ctx))
+		Expect(err).To(HaveOccurred())
+		Expect(sent).To(BeFalse())
+	})
+})
--- a/link/set.go
+++ b/link/set.go
@@ -63,6 +63,12 @@
 // ended break. Requests on connections that broke earlier did not run then.
 const crashWindow = time.Second
 
+// process is the boot id that the first answer of a generation named.
+type process struct {
+	generation uint32
+	bootID     string
+}
+
 // lostWork is a request whose connection broke.
 type lostWork struct {
 	at   time.Time
@@ -85,6 +91,7 @@
 	wake chan struct{} // capacity 1
 
 	wantProof atomic.Bool
+	process   atomic.Pointer[process]
 	proved    atomic.Int64 // when the newest answered request was sent, Unix nanoseconds
 
 	mu      sync.Mutex
@@ -137,17 +144,49 @@
 
 // Put returns a link after its response was read to the end.
 func (s *Set) Put(l *Link) {
-	s.mu.Lock()
-	closed := s.closed
-	s.mu.Unlock()
-	if closed || !s.usable(l) {
+	if !s.putIdle(l) {
 		l.Close()
-		return
+	}
+}
+
+// putIdle holds the mutex, so that no link comes after close has emptied the
+// channel.
+func (s *Set) putIdle(l *Link) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || !s.usable(l) {
+		return false
 	}
 	select {
 	case s.idle <- l:
+		return true
 	default:
-		l.Close()
+		return false
+	}
+}
+
+// BootID returns the boot id of the process that the link reaches, or "" if it
+// is not known. Without an answer on the link itself, it is the one that another
+// trusted link of the same generation got.
+func (s *Set) BootID(l *Link) string {
+	if own := l.bootID.Load(); own != nil {
+		return *own
+	}
+	if known := s.process.Load(); known != nil && known.generation == l.Generation {
+		return known.bootID
+	}
+	return ""
+}
+
+// identified keeps the first boot id of a generation.
+func (s *Set) identified(l *Link) {
+	id := l.bootID.Load()
+	if id == nil || !l.trusted.Load() {
+		return
+	}
+	known := s.process.Load()
+	if known == nil || known.generation < l.Generation {
+		s.process.CompareAndSwap(known, &process{l.Generation, *id})
 	}
 }
 
@@ -161,6 +200,7 @@
 func (s *Set) Answered(l *Link, sent time.Time) {
 	l.provedAt.Store(time.Now().UnixNano())
 	s.prove(sent)
+	s.identified(l)
 	s.mu.Lock()
 	if len(s.waiting) == 0 || !l.trusted.Load() {
 		s.mu.Unlock()
