exchange: end waiting requests at their deadline or at isolation, and not for slow callers

Change: the deadline and isolation are looked at before and after each admission; the limit of silence runs only while the target is waited for; HEAD needs no length, and a status below 200 is no answer.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -63,6 +63,8 @@
 	Crashes  *contract.Fingerprints
 	Tracer   trace.Tracer
 	Observer Observer
+	// Isolated tells that no new work may start; nil if that never happens.
+	Isolated func() bool
 
 	tried  service.Tried
 	silent time.Time // when an attempt began that met a silent connection
@@ -133,8 +135,22 @@
 	return c.ReadCloser.Close()
 }
 
-// admit returns a permit, waiting in the queue if no target has room.
+// admit returns a permit. A request that waited since before this instance was
+// cut off from changes gets none.
 func (x *Exchange) admit(ctx context.Context) (target.Permit, *contract.Refusal) {
+	if ctx.Err() != nil {
+		return target.Permit{}, x.Contract.Refuse(x.contextReason(ctx))
+	}
+	permit, refusal := x.find(ctx)
+	if refusal == nil && x.Isolated != nil && x.Isolated() {
+		x.release(permit)
+		return target.Permit{}, x.Contract.Refuse(contract.ReasonIsolated)
+	}
+	return permit, refusal
+}
+
+// find takes a permit, waiting in the queue if no target has room.
+func (x *Exchange) find(ctx context.Context) (target.Permit, *contract.Refusal) {
 	seen := x.Service.Queue.Seen()
 	if x.Service.Queue.Len() == 0 {
 		if permit, ok := x.choose(); ok {
@@ -189,7 +205,7 @@
 			}
 		case <-ctx.Done():
 			queue.Leave(waiter)
-			return target.Permit{}, x.Contract.Refuse(contextReason(ctx))
+			return target.Permit{}, x.Contract.Refuse(x.contextReason(ctx))
 		}
 	}
 }
@@ -205,8 +221,10 @@
 	return contract.ReasonQueueFull
 }
 
-func contextReason(ctx context.Context) contract.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+// contextReason tells why the context ended. The server cancels it when its own
+// deadline for reading the request passes, which is at the same moment.
+func (x *Exchange) contextReason(ctx context.Context) contract.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(x.Contract.Terms.Deadline) {
 		return contract.ReasonDeadline
 	}
 	return contract.ReasonCallerCanceled
@@ -225,7 +243,7 @@
 	taken := x.take(set)
 	if taken == nil {
 		x.release(permit)
-		x.tried = append(x.tried, chosen)
+		x.avoid(chosen)
 		pause(ctx, linkPause)
 		return nil, nil, true
 	}
@@ -246,7 +264,7 @@
 	}
 	span.RecordError(err)
 	x.Observer.Attempt(x.Service.Name, failure, time.Since(s.began))
-	x.tried = append(x.tried, chosen)
+	x.avoid(chosen)
 	if !content.replayable() {
 		return nil, x.Contract.Stop(failure), false
 	}
@@ -261,6 +279,13 @@
 	return nil, refusal, refusal == nil
 }
 
+// avoid prefers other targets from now on. Each target is listed once.
+func (x *Exchange) avoid(t *target.Target) {
+	if !x.tried.Has(t) {
+		x.tried = append(x.tried, t)
+	}
+}
+
 // take avoids links that may have gone silent with another one.
 func (x *Exchange) take(set *link.Set) *link.Link {
 	if x.silent.IsZero() {
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -47,8 +47,12 @@
 // chunked nor has a length would end with the connection, and a cut one would
 // look whole; it is refused.
 func readResponse(response *http.Response) (*Response, error) {
+	if response.StatusCode < http.StatusOK {
+		return nil, &IncompleteError{Problem: "has no final status"}
+	}
 	chunked := len(response.TransferEncoding) > 0
-	if response.ContentLength < 0 && !chunked {
+	bodiless := response.Request != nil && response.Request.Method == http.MethodHead
+	if response.ContentLength < 0 && !chunked && !bodiless {
 		return nil, &IncompleteError{Problem: "has neither a length nor chunks"}
 	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, contract.MaxAnswerBytes+1))
--- a/exchange/rig_test.go
+++ b/exchange/rig_test.go
@@ -96,3 +96,8 @@
 func repeatable(limit time.Duration) contract.Terms {
 	return contract.Terms{Idempotent: true, Deadline: time.Now().Add(limit), Retries: 4}
 }
+
+func (r *rig) queued() int {
+	found, _ := r.catalog.Snapshot().Service("orders")
+	return found.Queue.Len()
+}
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -27,7 +27,8 @@
 )
 
 // watch ends an attempt that makes no progress. Each part of the body that is
-// sent or received counts as progress.
+// sent or received counts as progress. The time for which the caller is waited
+// for, to send or to take a part, does not count.
 //
 // For an idempotent request it cancels the attempt, so that another one can
 // follow at once. For any other request it asks the target, over a new
@@ -41,6 +42,8 @@
 	asking   chan struct{} // closed when the question has been settled; nil if there is none
 	canceled atomic.Bool
 	silent   atomic.Bool // the attempt was ended because nothing came
+	answered atomic.Bool // the answer has begun
+	ended    atomic.Bool
 }
 
 func (s *sending) watch(ctx context.Context, attemptID string) *watch {
@@ -69,16 +72,26 @@
 	return w
 }
 
-// progress puts the end of an idempotent attempt off.
-func (w *watch) progress() {
+// expect starts the time for which the target may be silent.
+func (w *watch) expect() {
 	if w.limit > 0 {
 		w.timer.Reset(w.limit)
 	}
 }
 
+// hold stops that time while the caller is waited for.
+func (w *watch) hold() {
+	if w.limit > 0 {
+		w.timer.Stop()
+	}
+}
+
 // end stops the watch and tells whether the target confirmed that the request
 // did not run and never will.
 func (w *watch) end() (canceled bool) {
+	if w.ended.Swap(true) {
+		return w.canceled.Load()
+	}
 	if !w.timer.Stop() && w.asking != nil {
 		<-w.asking
 	}
@@ -86,38 +99,52 @@
 	return w.canceled.Load()
 }
 
-// observe counts the parts of the request body as progress.
+// observe watches the body of the request, which is read from the caller.
 func (w *watch) observe(request *http.Request) {
 	if request.Body != nil && w.limit > 0 {
-		request.Body = &watched{ReadCloser: request.Body, progress: w.progress}
+		request.Body = &outgoingBody{request.Body, w}
 	}
 }
 
-// body counts the parts of the answer as progress, and ends the watch with it.
+type outgoingBody struct {
+	io.ReadCloser
+	watch *watch
+}
+
+func (b *outgoingBody) Read(p []byte) (int, error) {
+	// A target may answer before it has read the whole body.
+	if !b.watch.answered.Load() {
+		b.watch.hold()
+		defer func() {
+			if !b.watch.answered.Load() {
+				b.watch.expect()
+			}
+		}()
+	}
+	return b.ReadCloser.Read(p)
+}
+
+// body watches the body of the answer, and ends the watch with it.
 func (w *watch) body(answer io.ReadCloser) io.ReadCloser {
-	w.progress()
-	return &watched{ReadCloser: answer, progress: w.progress, end: func() { w.end() }}
+	w.answered.Store(true)
+	w.hold()
+	return &incomingBody{answer, w}
 }
 
-type watched struct {
+type incomingBody struct {
 	io.ReadCloser
-	progress func()
-	end      func()
+	watch *watch
 }
 
-func (w *watched) Read(p []byte) (int, error) {
-	n, err := w.ReadCloser.Read(p)
-	if n > 0 {
-		w.progress()
-	}
-	return n, err
+func (b *incomingBody) Read(p []byte) (int, error) {
+	b.watch.expect()
+	defer b.watch.hold()
+	return b.ReadCloser.Read(p)
 }
 
-func (w *watched) Close() error {
-	err := w.ReadCloser.Close()
-	if w.end != nil {
-		w.end()
-	}
+func (b *incomingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.watch.end()
 	return err
 }
 
--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -157,6 +157,7 @@
 		Crashes:  f.Crashes,
 		Tracer:   f.Tracer,
 		Observer: f.Metrics,
+		Isolated: f.Standing.Isolated,
 	}
 }
 
