service, exchange, link: let changed bounds of a service reach what runs

Cause: a changed queue limit or retry share replaced the service. Requests in its queue never got a target, and the links of kept targets went on asking the old service whether capacity was wanted, so that no lease was requested for the new one. A changed cold start or probe budget came into force only for targets that were added later. Change: the queue limit is set in place; a new retry budget comes with a service that takes over the queue, and the replaced one keeps getting the view while a request holds it; links follow the service and the terms of their target.

--- a/link/owner.go
+++ b/link/owner.go
@@ -35,9 +35,42 @@
 // probes.
 type owner struct {
 	*Set
+	agreed  *Terms // those that the warm-up follows
 	warmup  *target.Warmup
 	answers uint64
 	usedAt  time.Time
+
+	// generation is the newest one with a link, first opened at connectedAt.
+	generation  uint32
+	connectedAt time.Time
+}
+
+// follow takes over changed terms. The cold duration goes on; the answers are
+// counted anew.
+func (o *owner) follow() {
+	terms := o.terms.Load()
+	if terms == o.agreed {
+		return
+	}
+	state, generation := o.target.State()
+	if state == target.StateWarming {
+		return
+	}
+	if state == target.StateCold {
+		o.target.Transition(generation, state, 0) // the new warm-up begins without a limit
+	}
+	o.agreed, o.warmup = terms, target.NewWarmup(o.target, terms.Cold)
+	if !o.connectedAt.IsZero() {
+		o.warmup.Connected(o.connectedAt, o.generation)
+	}
+}
+
+// connected records a link of a generation.
+func (o *owner) connected(now time.Time, generation uint32) {
+	if generation != o.generation || o.connectedAt.IsZero() {
+		o.generation, o.connectedAt = generation, now
+	}
+	o.warmup.Connected(now, generation)
 }
 
 // Run opens links and steps the warm-up until the context ends. It returns
@@ -45,11 +78,13 @@
 // back, so that no request in flight is cut.
 func (s *Set) Run(ctx context.Context) {
 	defer s.close()
-	o := &owner{Set: s, warmup: target.NewWarmup(s.target, s.terms.Cold)}
+	o := &owner{Set: s}
+	o.follow()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	redial := firstRedial
 	for {
+		o.follow()
 		pause := o.step(time.Now())
 		if s.missing() {
 			if err := o.dial(ctx); err != nil {
@@ -60,7 +95,7 @@
 				continue
 			}
 		}
-		if s.wantProof.Load() && s.terms.Probes.Take(time.Now()) {
+		if s.wantProof.Load() && o.agreed.Probes.Take(time.Now()) {
 			o.probe(ctx)
 		}
 		timer.Reset(pause)
@@ -92,7 +127,7 @@
 	if before == target.StateCold {
 		until := o.coldUntil(now)
 		o.target.Lease(until)
-		leased = o.terms.Cold.Share() == 0 && now.Before(until)
+		leased = o.agreed.Cold.Share() == 0 && now.Before(until)
 		if o.Lessor.ProvedWarm(o.target) {
 			o.warmup.ProvedWarm()
 		}
@@ -114,7 +149,7 @@
 // coldUntil returns the time until which this instance may send to the cold
 // target. Its fixed share needs no lease.
 func (o *owner) coldUntil(now time.Time) time.Time {
-	if o.terms.Cold.Share() > 0 {
+	if o.agreed.Cold.Share() > 0 {
 		return now.Add(time.Hour)
 	}
 	if answers := o.target.Answers(); answers != o.answers || o.target.InFlight() > 0 {
@@ -147,7 +182,7 @@
 // identify asks over the first link of a generation which process it reaches. If
 // only the connections to a warm process had broken, it goes on as warm.
 func (o *owner) identify(ctx context.Context, l *Link) error {
-	if !o.target.Identifiable() || !o.terms.Probes.Take(time.Now()) {
+	if !o.target.Identifiable() || !o.agreed.Probes.Take(time.Now()) {
 		return nil
 	}
 	o.Events.Probed(o.target)
@@ -208,7 +243,7 @@
 	}
 	s.mu.Unlock()
 	if first {
-		o.warmup.Connected(time.Now(), generation)
+		o.connected(time.Now(), generation)
 		if err := o.identify(ctx, l); err != nil {
 			return err
 		}
--- a/link/set.go
+++ b/link/set.go
@@ -85,7 +85,7 @@
 // was alive then, so both links reach the same one.
 type Set struct {
 	target *target.Target
-	terms  Terms
+	terms  atomic.Pointer[Terms]
 	Surroundings
 	idle chan *Link
 	wake chan struct{} // capacity 1
@@ -103,14 +103,22 @@
 
 // NewSet returns the set of links of a target.
 func NewSet(t *target.Target, terms Terms, surroundings Surroundings) *Set {
-	return &Set{
+	s := &Set{
 		target:       t,
-		terms:        terms,
 		Surroundings: surroundings,
 		idle:         make(chan *Link, t.Spec.Links),
 		wake:         make(chan struct{}, 1),
 		open:         make(map[*Link]struct{}, t.Spec.Links),
 	}
+	s.terms.Store(&terms)
+	return s
+}
+
+// SetTerms replaces the terms. A target whose limit grows already goes on to do
+// so; the new terms apply to it after its next start.
+func (s *Set) SetTerms(terms Terms) {
+	s.terms.Store(&terms)
+	s.notify()
 }
 
 // Take returns an idle trusted link, or nil if there is none.
--- a/service/catalog.go
+++ b/service/catalog.go
@@ -1,8 +1,10 @@
 package service
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
+	"weak"
 
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/target"
@@ -99,11 +101,17 @@
 	leaving map[string]bool           // names of targets that are leaving
 	last    map[string]*target.Target // newest target of each name, also of those that are out
 	current atomic.Pointer[Snapshot]
+	// superseded lists, by name, services that were replaced while requests may
+	// still hold them.
+	superseded map[string][]weak.Pointer[Service]
 }
 
 // NewCatalog returns a catalog without services for an instance in ownZone.
 func NewCatalog(ownZone string, policy Policy) *Catalog {
-	c := &Catalog{ownZone: ownZone, policy: policy, last: make(map[string]*target.Target)}
+	c := &Catalog{
+		ownZone: ownZone, policy: policy, last: make(map[string]*target.Target),
+		superseded: make(map[string][]weak.Pointer[Service]),
+	}
 	c.current.Store(&Snapshot{})
 	return c
 }
@@ -156,21 +164,58 @@
 	}
 	for i := range state.Config.Services {
 		spec := &state.Config.Services[i]
-		s, known := old.services[spec.Name]
-		if !known || s.Queue.limit != spec.QueueLimit || s.Retries.percent != uint64(spec.RetryPercent) {
-			s = New(spec.Name, spec.QueueLimit, spec.RetryPercent, c.policy)
-		}
+		s := c.serviceOf(old, spec)
 		next.services[spec.Name] = s
-		s.Replace(NewView(state.Version, c.zones(old, next, spec)))
+		view := NewView(state.Version, c.zones(old, next, spec))
+		c.replaceSuperseded(spec.Name, view)
+		s.Replace(view)
 	}
 	c.current.Store(next)
 	for name, s := range old.services {
-		if next.services[name] != s {
+		if next.services[name] == nil {
+			c.replaceSuperseded(name, &View{Version: state.Version})
 			s.Replace(&View{Version: state.Version})
 		}
 	}
 }
 
+// serviceOf returns the service of a specification. A changed queue limit is set
+// in place. A changed retry budget needs a new service, which takes over the
+// queue, so that requests that wait in it are woken as before.
+func (c *Catalog) serviceOf(old *Snapshot, spec *config.Service) *Service {
+	before, known := old.services[spec.Name]
+	if !known {
+		return New(spec.Name, spec.QueueLimit, spec.RetryPercent, c.policy)
+	}
+	before.Queue.setLimit(spec.QueueLimit)
+	if before.Retries.percent == uint64(spec.RetryPercent) {
+		return before
+	}
+	s := New(spec.Name, spec.QueueLimit, spec.RetryPercent, c.policy)
+	s.Queue = before.Queue
+	c.superseded[spec.Name] = append(c.superseded[spec.Name], weak.Make(before))
+	return s
+}
+
+// replaceSuperseded gives the services that were replaced the view of the one
+// that replaced them, because requests that hold them choose from it.
+func (c *Catalog) replaceSuperseded(name string, view *View) {
+	c.superseded[name] = slices.DeleteFunc(c.superseded[name], func(p weak.Pointer[Service]) bool {
+		s := p.Value()
+		if s != nil {
+			s.Replace(view)
+		}
+		return s == nil
+	})
+}
+
+// setLimit changes the bound. Requests above a lower one keep their places.
+func (q *Queue) setLimit(limit int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.limit = limit
+}
+
 // zones returns the availability zones of one service and enters its targets
 // into the next snapshot.
 func (c *Catalog) zones(old, next *Snapshot, spec *config.Service) []*zone.Zone {
