coldstart: stop admitting before a lease is released

Cause: a release went out after the look at the requests in flight, while the target still admitted until the end of the term. A request that started in between ran beside those of the next holder, and a cold target got more than it bears. Change: the lease of the target ends first; then requests in flight are counted. A request that had its lease confirmed before is in flight by then. Result: two specs with work that starts during the release failed before and pass (go test -race ./coldstart/).

--- a/coldstart/broker.go
+++ b/coldstart/broker.go
@@ -194,7 +194,13 @@
 // settleRelease returns a release that may be sent now, because no work of this
 // instance runs on the target any more.
 func (b *Broker) settleRelease(t *target.Target, w *want) *lease.Request {
-	if w.release == nil || t.InFlight() > 0 {
+	if w.release == nil {
+		return nil
+	}
+	// Work that started before this line is in flight; work that has not started
+	// is refused. The other order would let some start after the release.
+	t.Lease(time.Time{})
+	if t.InFlight() > 0 {
 		return nil
 	}
 	request := *w.release
