link: resume a warm-up with a limit

Cause: after the connections of a target that was warming broke and the same process answered on a new one, the new warm-up doubled a limit of 0. The target got no work until its next restart. Change: a resumed warm-up starts from 1.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -202,3 +202,38 @@
 		Expect(sent).To(BeFalse())
 	})
 })
+
+var _ = Describe("Set of a target that was warming", func() {
+	// Guards against a limit of 0 that no answer can raise, after the connections
+	// broke and the same process answered on a new one.
+	It("goes on to warm up after its connections broke", func() {
+		s := newServer(func(_ int32, conn net.Conn) {
+			reader := bufio.NewReader(conn)
+			for {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\nFulmarhoist-Boot-Id: a\r\n\r\n")
+			}
+		})
+		t := target.New(target.Spec{Name: "orders-1", Address: s.address(), Slots: 4, Links: 4})
+		helper := &always{}
+		set := link.NewSet(t, link.Terms{
+			Cold:   target.ColdTerms{Bears: 1, Duration: time.Hour, Answers: 1, MaxInstances: 7},
+			Probes: target.NewProbeBudget(10_000, 1),
+		}, link.Surroundings{Lessor: helper, Demand: helper, Events: helper})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); set.Run(ctx) }()
+		DeferCleanup(func() { cancel(); Eventually(done).Should(BeClosed()) })
+		take(set)
+		t.SawBootID(1, "a")
+		t.Transition(1, target.StateWarming, 2)
+		for range 4 {
+			_ = (<-s.conns).Close()
+		}
+		resumed := func() bool { state, generation := t.State(); return state == target.StateWarming && generation > 1 }
+		Eventually(resumed).Should(BeTrue())
+		Consistently(t.Limit).WithTimeout(100 * time.Millisecond).Should(BeNumerically(">", 0))
+	})
+})
--- a/link/owner.go
+++ b/link/owner.go
@@ -192,6 +192,8 @@
 	}
 	if !o.target.Resume(l.Generation, bootID) {
 		o.target.SawBootID(l.Generation, bootID)
+	} else if state, _ := o.target.State(); state == target.StateWarming {
+		o.warmup.ProvedWarm() // the new warm-up has no limit to double yet
 	}
 	return nil
 }
