daemon: wait for forwarded requests and for those whose caller has left

Cause: a planned stop waited for the connections of callers only. A request that another instance had forwarded lost its answer when the connections to peers closed, and a request that must not run twice was cut when its caller had left over HTTP/2. Change: the drain counts requests of both kinds and waits for the last one. A forwarded request that comes later is refused with the outcome unknown.

--- a/daemon/cluster.go
+++ b/daemon/cluster.go
@@ -72,6 +72,7 @@
 	collaborators
 
 	front    *httpapi.Front // set before run, to serve forwarded requests
+	drain    *drain         // set before run
 	mesh     *peerwire.Mesh
 	listings chan platform.Listing
 	inbox    chan func(now time.Time)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,7 +77,7 @@
 }
 
 func newDaemon(p parts) *Daemon {
-	p.Cluster.front = p.Front
+	p.Cluster.front, p.Cluster.drain = p.Front, p.Drain
 	registerGauges(p.Metrics, p.Reader, p.Roster, p.Standing)
 	return &Daemon{
 		settings: p.Settings, logger: p.Logger, tracing: p.Tracing, reader: p.Reader, applier: p.Applier,
@@ -157,6 +157,7 @@
 	if err := server.Shutdown(context.Background()); err != nil {
 		return fmt.Errorf("finish requests in flight: %w", err)
 	}
+	d.drain.finish()
 	return nil
 }
 
--- a/daemon/inbound.go
+++ b/daemon/inbound.go
@@ -65,8 +65,13 @@
 	h.Reader.Offer(config.Snapshot{State: checkpoint.State, AsOf: checkpoint.AsOf, CheckpointAt: checkpoint.WrittenAt})
 }
 
-// Forward implements peerwire.Handler.
+// Forward implements peerwire.Handler. After the last request of a planned stop
+// none begins: its answer would not reach the peer.
 func (h *inbound) Forward(ctx context.Context, _ peerwire.Identity, m *peerwire.Forward) *peerwire.ForwardReply {
+	if !h.drain.begin() {
+		return &peerwire.ForwardReply{Outcome: contract.OutcomeUnknown, Reason: contract.ReasonOwnerLost, Owner: h.Self.Instance}
+	}
+	defer h.drain.end()
 	header := make(http.Header, len(m.Header))
 	for _, field := range m.Header {
 		header.Add(field.Name, field.Value)
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -58,7 +58,7 @@
 		telemetry.NewMetrics,
 		func(c *service.Catalog) *knownTargets { return &knownTargets{catalog: c} },
 		func(r *instance.Roster, c *service.Catalog) *directory { return &directory{roster: r, catalog: c} },
-		func(d *directory) *drain { return &drain{lifetime: d.lifetime} },
+		func(d *directory) *drain { return newDrain(d.lifetime) },
 		contract.NewFingerprints, newMail, newApplier, newLinks, newReader, newCluster, newFront, newDaemon,
 	}
 }
