httpapi: bound every transfer, settle after a panic, keep the path of a forwarded request

Cause: requests that name no deadline (health, metrics, directory, refusals) could be sent and read without a limit, and one caller that stopped in the middle held up a planned stop for good. A panic left the entry of a key open, so that later copies waited until their deadline. A forwarded path that starts with // lost its first segment. CONNECT was sent on. Change: the server has read and write limits of 10 s, which a request to a target replaces; a panic settles the key as unknown; the path is parsed as a path; CONNECT is refused.

--- a/httpapi/forward.go
+++ b/httpapi/forward.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -37,11 +38,16 @@
 // ServeForwarded serves a request whose key this instance owns and which another
 // instance received.
 func (f *Front) ServeForwarded(ctx context.Context, method, uri string, header http.Header, body []byte) contract.Answer {
-	r, err := http.NewRequestWithContext(ctx, method, uri, bytes.NewReader(body))
+	// Unlike url.Parse, this takes a path that starts with "//" for a path.
+	address, err := url.ParseRequestURI(uri)
 	if err != nil {
 		return notRun(contract.ReasonMalformed)
 	}
-	r.Header = header
+	r, err := http.NewRequestWithContext(ctx, method, "/", bytes.NewReader(body))
+	if err != nil {
+		return notRun(contract.ReasonMalformed)
+	}
+	r.URL, r.Header = address, header
 	snapshot := f.Catalog.Snapshot()
 	if snapshot.State.Config == nil {
 		return notRun(contract.ReasonNoConfig)
--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -200,6 +200,10 @@
 
 // runKeyed runs the first copy of a keyed request and records its outcome.
 func (f *Front) runKeyed(ctx context.Context, a *accepted, entry *contract.Entry, request *exchange.Request) (*exchange.Response, *contract.Refusal, int) {
+	// The first outcome counts, so this one does only after a panic.
+	defer f.Ledger.Settle(a.terms.Key, entry, contract.Answer{Refusal: &contract.Refusal{
+		Outcome: contract.OutcomeUnknown, Reason: contract.ReasonAnswerLost, Owner: f.Instance,
+	}})
 	if f.Standing.Isolated() {
 		refusal := &contract.Refusal{Outcome: contract.OutcomeNotRun, Reason: contract.ReasonIsolated}
 		f.Ledger.Settle(a.terms.Key, entry, contract.Answer{Refusal: refusal})
--- /dev/null
+++ b/httpapi/front_test.go
@@ -0,0 +1,154 @@
+package httpapi_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"fulmarhoist.example/config"
+	"fulmarhoist.example/contract"
+	"fulmarhoist.example/exchange"
+	"fulmarhoist.example/httpapi"
+	"fulmarhoist.example/service"
+	"fulmarhoist.example/target"
+	"fulmarhoist.example/telemetry"
+)
+
+// quiet fills the parts that the specs do not look at.
+type quiet struct{}
+
+func (quiet) ColdLease(time.Time, *target.Target) time.Time  { return time.Time{} }
+func (quiet) Relinquish(time.Time, *target.Target)           {}
+func (quiet) ProvedWarm(*target.Target) bool                 { return false }
+func (quiet) Warm(*target.Target)                            {}
+func (quiet) Crashed(*target.Target, []contract.Fingerprint) {}
+func (quiet) Changed(*target.Target)                         {}
+func (quiet) Probed(*target.Target)                          {}
+func (quiet) Isolated() bool                                 { return false }
+func (quiet) Leaving() bool                                  { return false }
+
+// newFront returns a front end with one target that runs the handler.
+func newFront(handler http.HandlerFunc) *httpapi.Front {
+	server := httptest.NewServer(handler)
+	DeferCleanup(server.CloseClientConnections)
+	catalog := service.NewCatalog("az-1", service.ShortestExpectedDelay{})
+	catalog.Apply(config.State{Version: 1, Config: &config.Configuration{
+		MaxInstances: 1, Zones: []config.Zone{{Name: "az-1"}},
+		Services: []config.Service{{
+			Name: "orders", QueueLimit: 10, RetryPercent: 10,
+			ColdStart: config.ColdStart{Bears: 4, DurationMs: 3_600_000, Answers: 1},
+			Classes:   []config.Class{{Name: "reorder", Priority: config.PriorityInteractive, DeadlineMs: 5000, MaxBodyBytes: 1 << 20}},
+			Targets:   []config.Target{{Name: "orders-1", Address: strings.TrimPrefix(server.URL, "http://"), Zone: "az-1", Slots: 4, Connections: 4}},
+		}},
+	}})
+	links := exchange.NewLinks(quiet{}, quiet{}, func(*target.Target) {})
+	DeferCleanup(links.Close)
+	links.Follow(catalog.Snapshot())
+	return &httpapi.Front{
+		Instance: "entry-1", Catalog: catalog, Ledger: contract.NewLedger("entry-1", 1, time.Now()), Links: links,
+		Crashes: contract.NewFingerprints(), Standing: quiet{}, Tracer: noop.NewTracerProvider().Tracer(""), Metrics: telemetry.NewMetrics(),
+	}
+}
+
+const key = "entry-1.0000000000000001.0/reorder-1"
+
+func reorder(ctx context.Context, method, path string, body io.Reader) *http.Request {
+	request := httptest.NewRequestWithContext(ctx, method, path, body)
+	request.Header.Set("Fulmarhoist-Service", "orders")
+	request.Header.Set("Fulmarhoist-Class", "reorder")
+	request.Header.Set("Fulmarhoist-Request-Key", key)
+	return request
+}
+
+// broken is a body that fails in the given way.
+type broken func() error
+
+func (b broken) Read([]byte) (int, error) { return 0, b() }
+
+var _ = Describe("Front", func() {
+	send := func(f *httpapi.Front, request *http.Request) *http.Response {
+		recorder := httptest.NewRecorder()
+		f.Handler().ServeHTTP(recorder, request)
+		return recorder.Result()
+	}
+
+	// Guards against a second run, or a wrong outcome, for a copy that comes after
+	// the caller of the first one has left.
+	It("runs a keyed request to its end although its caller left", func(ctx SpecContext) {
+		var runs atomic.Int32
+		block := make(chan struct{})
+		f := newFront(func(w http.ResponseWriter, _ *http.Request) { runs.Add(1); <-block; _, _ = fmt.Fprint(w, "done") })
+		call, leave := context.WithCancel(ctx)
+		go send(f, reorder(call, http.MethodPost, "/orders", strings.NewReader("{}")))
+		Eventually(runs.Load).Should(Equal(int32(1)))
+		leave()
+		close(block)
+		got := send(f, reorder(ctx, http.MethodPost, "/orders", strings.NewReader("{}")))
+		Expect(got.Header).To(HaveKeyWithValue("Fulmarhoist-Replayed", []string{"1"}))
+		Expect(io.ReadAll(got.Body)).To(Equal([]byte("done")))
+		Expect(runs.Load()).To(Equal(int32(1)))
+	})
+
+	// Guards against a copy that runs after the first one was refused because its
+	// body broke: "not run" is final for a key.
+	It("keeps the refusal of a request whose body broke", func(ctx SpecContext) {
+		var runs atomic.Int32
+		f := newFront(func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+		got := send(f, reorder(ctx, http.MethodPost, "/orders", broken(func() error { return io.ErrUnexpectedEOF })))
+		Expect(got.Header.Get("Fulmarhoist-Outcome")).To(Equal("not-run"))
+		got = send(f, reorder(ctx, http.MethodPost, "/orders", strings.NewReader("{}")))
+		Expect(got.Header.Get("Fulmarhoist-Outcome")).To(Equal("not-run"))
+		Expect(runs.Load()).To(BeZero())
+	})
+
+	// Guards against copies that wait until their deadline for an outcome that
+	// never comes.
+	It("records an outcome for a request that panicked", func(ctx SpecContext) {
+		f := newFront(func(http.ResponseWriter, *http.Request) {})
+		Expect(func() {
+			send(f, reorder(ctx, http.MethodPost, "/orders", broken(func() error { panic(http.ErrAbortHandler) })))
+		}).To(Panic())
+		began := time.Now()
+		got := send(f, reorder(ctx, http.MethodPost, "/orders", strings.NewReader("{}")))
+		Expect(got.Header.Get("Fulmarhoist-Outcome")).To(Equal("unknown"))
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	})
+
+	// Guards against a forwarded request that reaches another path than the same
+	// request sent to its owner directly.
+	It("keeps the path of a forwarded request", func(ctx SpecContext) {
+		paths := make(chan string, 1)
+		f := newFront(func(_ http.ResponseWriter, r *http.Request) { paths <- r.RequestURI })
+		answer := f.ServeForwarded(ctx, http.MethodPost, "//orders/1?x=1", reorder(ctx, http.MethodPost, "/", nil).Header, nil)
+		Expect(answer.Refusal).To(BeNil())
+		Expect(paths).To(Receive(Equal("//orders/1?x=1")))
+	})
+
+	// Guards against a tunnel to a target: it has no answer that could be whole.
+	It("refuses CONNECT", func(ctx SpecContext) {
+		f := newFront(func(http.ResponseWriter, *http.Request) { Fail("was sent on") })
+		got := send(f, reorder(ctx, http.MethodConnect, "/orders", nil))
+		Expect(got.StatusCode).To(Equal(http.StatusBadRequest))
+	})
+
+	// Guards against a panic, and a link that is never given back, for a status
+	// that cannot be passed on.
+	It("passes on no answer without a final status", func(ctx SpecContext) {
+		f := newFront(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			_, _ = fmt.Fprint(conn, "HTTP/1.1 099 Odd\r\nContent-Length: 0\r\n\r\n")
+		})
+		got := send(f, reorder(ctx, http.MethodPost, "/orders", nil))
+		Expect(got.Header.Get("Fulmarhoist-Outcome")).To(Equal("unknown"))
+	})
+})
--- a/httpapi/terms.go
+++ b/httpapi/terms.go
@@ -57,6 +57,9 @@
 
 // readTerms reads the terms of a request from its headers.
 func readTerms(r *http.Request, snapshot *service.Snapshot, now time.Time) (*accepted, error) {
+	if r.Method == http.MethodConnect {
+		return nil, badField(http.StatusBadRequest, "method", "CONNECT is not supported")
+	}
 	if r.Header.Get("Upgrade") != "" {
 		return nil, badField(http.StatusBadRequest, "Upgrade", "protocol upgrades are not supported")
 	}
--- a/httpapi/write.go
+++ b/httpapi/write.go
@@ -112,8 +112,14 @@
 	}
 }
 
+// commonTimeout bounds the transfer of a request that names no deadline, and of
+// its answer: the directory, health, metrics and refusals. A request to a target
+// gets its own bounds. Without them, a caller that stops to send or to read would
+// hold up a planned stop.
+const commonTimeout = 10 * time.Second
+
 // NewServer returns the HTTP server for callers, with HTTP/1.1 and HTTP/2 over
-// plain TCP and bounds on headers and idle connections.
+// plain TCP and bounds on headers, transfers and idle connections.
 func NewServer(handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -122,6 +128,8 @@
 		Handler:           handler,
 		Protocols:         protocols,
 		ReadHeaderTimeout: 5 * time.Second,
+		ReadTimeout:       commonTimeout,
+		WriteTimeout:      commonTimeout,
 		IdleTimeout:       2 * time.Minute,
 		MaxHeaderBytes:    64 << 10,
 	}
