--- a/exchange/links.go
+++ b/exchange/links.go
@@ -17,6 +17,7 @@
 	events   link.Events
 	draining func(*target.Target)
 
+	mu     sync.Mutex // held by Follow and Close, so that nothing starts after Close
 	sets   atomic.Pointer[map[*target.Target]*runningSet]
 	group  sync.WaitGroup
 	cancel context.CancelFunc
@@ -54,8 +55,14 @@
 }
 
 // Follow opens links to the targets of a snapshot and closes those of targets
-// that are not in it. Links in use are closed when their request has ended.
+// that are not in it. Links in use are closed when their request has ended. The
+// links that stay follow changes of their service. It has no effect after Close.
 func (l *Links) Follow(snapshot *service.Snapshot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return
+	}
 	old := *l.sets.Load()
 	wanted := snapshot.Targets()
 	next := make(map[*target.Target]*runningSet, len(wanted))
@@ -100,6 +107,8 @@
 
 // Close closes all links and waits until their goroutines have ended.
 func (l *Links) Close() {
+	l.mu.Lock()
 	l.cancel()
+	l.mu.Unlock()
 	l.group.Wait()
 }
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -18,8 +18,8 @@
 	leastSilence  = 250 * time.Millisecond
 	silenceFactor = 20
 	// patience is the part of the deadline after which a link counts as silent
-	// in any case but not earlier for requests that may wait, because their
-	// response times differ too much for an average.
+	// for requests that may wait, because their response times differ too much
+	// for an average, and while no average is known.
 	patience = 4
 	// cancelMargin is the time before the deadline at which the target is asked
 	// to cancel a request that must not run twice.
@@ -31,7 +31,8 @@
 )
 
 // watch ends an attempt that makes no progress. Each part of the body that is
-// sent or received counts as progress.
+// sent or received counts as progress. The time for which the caller is waited
+// for, to send or to take a part, does not count.
 //
 // For an idempotent request it cancels the attempt, so that another one can
 // follow at once. For any other request it asks the target, over a new
@@ -45,6 +46,8 @@
 	asking   chan struct{} // closed when the question has been settled; nil if there is none
 	canceled atomic.Bool
 	silent   atomic.Bool // the attempt was ended because nothing came
+	answered atomic.Bool // the answer has begun
+	ended    atomic.Bool
 }
 
 func (s *sending) watch(ctx context.Context, attemptID string) *watch {
@@ -60,10 +63,12 @@
 	}
 	left := time.Until(s.x.Contract.Terms.Deadline)
 	w.asking = make(chan struct{})
-	address := s.permit.Target.Spec.Address
+	question := cancellation{
+		address: s.permit.Target.Spec.Address, attemptID: attemptID, bootID: s.set.BootID(s.link),
+	}
 	w.timer = time.AfterFunc(left-min(cancelMargin, left/4), func() {
 		defer close(w.asking)
-		if confirmCanceled(address, attemptID) {
+		if question.confirmed() {
 			w.canceled.Store(true)
 			w.cancel()
 		}
@@ -82,15 +87,15 @@
 	return max(leastSilence, silenceFactor*max(usual, s.permit.Target.ExpectedDelay(s.began)))
 }
 
-// waiting starts to count the time without progress again.
-func (w *watch) waiting() {
+// expect starts the time for which the target may be silent.
+func (w *watch) expect() {
 	if w.limit > 0 {
 		w.timer.Reset(w.limit)
 	}
 }
 
-// paused stops counting while this process waits for the caller.
-func (w *watch) paused() {
+// hold stops that time while the caller is waited for.
+func (w *watch) hold() {
 	if w.limit > 0 {
 		w.timer.Stop()
 	}
@@ -99,6 +104,9 @@
 // end stops the watch and tells whether the target confirmed that the request
 // did not run and never will.
 func (w *watch) end() (canceled bool) {
+	if w.ended.Swap(true) {
+		return w.canceled.Load()
+	}
 	if !w.timer.Stop() && w.asking != nil {
 		<-w.asking
 	}
@@ -106,58 +114,83 @@
 	return w.canceled.Load()
 }
 
-// observe counts the parts of the request body as progress. A caller that is
-// slow to send them does not make the link silent.
+// observe watches the body of the request, which is read from the caller.
 func (w *watch) observe(request *http.Request) {
 	if request.Body != nil && w.limit > 0 {
-		request.Body = &watched{ReadCloser: request.Body, before: w.paused, after: w.waiting}
+		request.Body = &outgoingBody{request.Body, w}
 	}
 }
 
-// body counts the parts of the answer as progress, and ends the watch with it. A
-// caller that is slow to take them does not make the link silent.
+type outgoingBody struct {
+	io.ReadCloser
+	watch *watch
+}
+
+func (b *outgoingBody) Read(p []byte) (int, error) {
+	// A target may answer before it has read the whole body.
+	if !b.watch.answered.Load() {
+		b.watch.hold()
+		defer func() {
+			if !b.watch.answered.Load() {
+				b.watch.expect()
+			}
+		}()
+	}
+	return b.ReadCloser.Read(p)
+}
+
+// body watches the body of the answer, and ends the watch with it.
 func (w *watch) body(answer io.ReadCloser) io.ReadCloser {
-	w.paused()
-	return &watched{ReadCloser: answer, before: w.waiting, after: w.paused, end: func() { w.end() }}
+	w.answered.Store(true)
+	w.hold()
+	return &incomingBody{answer, w}
 }
 
-// watched calls before and after around each read.
-type watched struct {
+type incomingBody struct {
 	io.ReadCloser
-	before, after func()
-	end           func()
+	watch *watch
 }
 
-func (w *watched) Read(p []byte) (int, error) {
-	w.before()
-	n, err := w.ReadCloser.Read(p)
-	w.after()
-	return n, err
+func (b *incomingBody) Read(p []byte) (int, error) {
+	b.watch.expect()
+	defer b.watch.hold()
+	return b.ReadCloser.Read(p)
 }
 
-func (w *watched) Close() error {
-	err := w.ReadCloser.Close()
-	if w.end != nil {
-		w.end()
-	}
+func (b *incomingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.watch.end()
 	return err
 }
 
-// confirmCanceled asks a target over a new connection to cancel an attempt. The
-// result is true only if the target says that it had not started.
-func confirmCanceled(address, attemptID string) bool {
+// cancellation is the question to a target to cancel an attempt.
+type cancellation struct {
+	address   string
+	attemptID string
+	bootID    string // of the process that the attempt was sent to
+}
+
+// confirmed asks over a new connection. The result is true only if the process
+// that the attempt was sent to says that it had not started. One that started
+// later at the same address has never seen the attempt, and its word says
+// nothing about the process before it.
+func (c *cancellation) confirmed() bool {
+	if c.bootID == "" {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
 	transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: true}
 	request := &http.Request{
 		Method: http.MethodPost,
-		URL:    &url.URL{Scheme: "http", Host: address, Path: cancelPath},
-		Header: http.Header{headerAttemptID: {attemptID}},
+		URL:    &url.URL{Scheme: "http", Host: c.address, Path: cancelPath},
+		Header: http.Header{headerAttemptID: {c.attemptID}},
 	}
 	response, err := transport.RoundTrip(request.WithContext(ctx))
 	if err != nil {
 		return false
 	}
 	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK && response.Header.Get(headerNotRun) != ""
+	return response.StatusCode == http.StatusOK && response.Header.Get(headerNotRun) != "" &&
+		response.Header.Get(headerBootID) == c.bootID
 }
--- a/link/set.go
+++ b/link/set.go
@@ -64,6 +64,12 @@
 // ended break. Requests on connections that broke earlier did not run then.
 const crashWindow = time.Second
 
+// process is the boot id that the first answer of a generation named.
+type process struct {
+	generation uint32
+	bootID     string
+}
+
 // lostWork is a request whose connection broke.
 type lostWork struct {
 	at   time.Time
@@ -86,6 +92,7 @@
 	wake chan struct{} // capacity 1
 
 	wantProof atomic.Bool
+	process   atomic.Pointer[process]
 	proved    atomic.Int64 // when the newest answered request was sent, Unix nanoseconds
 
 	mu      sync.Mutex
@@ -145,42 +152,73 @@
 
 // Put returns a link after its response was read to the end.
 func (s *Set) Put(l *Link) {
+	for _, ended := range s.putIdle(l) {
+		ended.Close()
+	}
+}
+
+// putIdle returns the links that have no place any more. It holds the mutex, so
+// that no link comes after close has emptied the channel. A full channel holds
+// links that have ended, because the set opens no more links than there are
+// places. If the new link were dropped instead of them, another one would be
+// dialed at once, without end.
+func (s *Set) putIdle(l *Link) (dropped []*Link) {
 	s.mu.Lock()
-	closed := s.closed
-	s.mu.Unlock()
-	if closed || !s.usable(l) {
-		l.Close()
-		return
+	defer s.mu.Unlock()
+	if s.closed || !s.usable(l) {
+		return []*Link{l}
 	}
 	select {
 	case s.idle <- l:
+		return nil
 	default:
-		s.replaceEnded(l)
 	}
+	for _, candidate := range append(s.drainIdle(), l) {
+		if s.usable(candidate) && len(s.idle) < cap(s.idle) {
+			s.idle <- candidate
+		} else {
+			dropped = append(dropped, candidate)
+		}
+	}
+	return dropped
 }
 
-// replaceEnded puts a link back in the place of one that has ended. The set opens
-// no more links than there are places, so a full channel holds such links. If the
-// new link were closed instead, another one would be dialed at once, without end.
-func (s *Set) replaceEnded(l *Link) {
-	links := []*Link{l}
-	for range 4 * cap(s.idle) {
+// drainIdle empties the channel. The caller holds the mutex, which every sender
+// to the channel needs.
+func (s *Set) drainIdle() []*Link {
+	var links []*Link
+	for {
 		select {
-		case s.idle <- links[0]:
-			links = links[1:]
-		case oldest := <-s.idle:
-			if s.usable(oldest) {
-				links = append(links, oldest)
-			} else {
-				oldest.Close()
-			}
-		}
-		if len(links) == 0 {
-			return
+		case l := <-s.idle:
+			links = append(links, l)
+		default:
+			return links
 		}
 	}
-	for _, left := range links {
-		left.Close()
+}
+
+// BootID returns the boot id of the process that the link reaches, or "" if it
+// is not known. Without an answer on the link itself, it is the one that another
+// trusted link of the same generation got.
+func (s *Set) BootID(l *Link) string {
+	if own := l.bootID.Load(); own != nil {
+		return *own
+	}
+	if known := s.process.Load(); known != nil && known.generation == l.Generation {
+		return known.bootID
+	}
+	return ""
+}
+
+// identified keeps the first boot id of a generation.
+func (s *Set) identified(l *Link) {
+	id := l.bootID.Load()
+	if id == nil || !l.trusted.Load() {
+		return
+	}
+	known := s.process.Load()
+	if known == nil || known.generation < l.Generation {
+		s.process.CompareAndSwap(known, &process{l.Generation, *id})
 	}
 }
 
@@ -194,6 +232,7 @@
 func (s *Set) Answered(l *Link, sent time.Time) {
 	l.provedAt.Store(time.Now().UnixNano())
 	s.prove(sent)
+	s.identified(l)
 	s.mu.Lock()
 	if len(s.waiting) == 0 || !l.trusted.Load() {
 		s.mu.Unlock()
@@ -309,18 +348,10 @@
 func (s *Set) close() {
 	s.mu.Lock()
 	s.closed = true
-	waiting := s.waiting
+	links := append(s.waiting, s.drainIdle()...)
 	s.waiting = nil
 	s.mu.Unlock()
-	for _, l := range waiting {
+	for _, l := range links {
 		l.Close()
 	}
-	for {
-		select {
-		case l := <-s.idle:
-			l.Close()
-		default:
-			return
-		}
-	}
 }
--- a/service/budget.go
+++ b/service/budget.go
@@ -19,7 +19,7 @@
 // granted retry satisfies the bound at the time it is granted. Times that go
 // back count as the latest time seen.
 type RetryBudget struct {
-	percent  uint64
+	percent  atomic.Uint64
 	latest   atomic.Int64                 // newest second seen
 	requests [budgetSeconds]atomic.Uint64 // second (upper half) and count
 	retries  atomic.Pointer[spentRetries]
@@ -36,11 +36,15 @@
 
 // NewRetryBudget returns a budget of the given percentage of requests.
 func NewRetryBudget(percent int) *RetryBudget {
-	b := &RetryBudget{percent: uint64(max(0, percent))}
+	b := &RetryBudget{}
 	b.retries.Store(&spentRetries{})
+	b.SetPercent(percent)
 	return b
 }
 
+// SetPercent changes the percentage; 0 turns retries off.
+func (b *RetryBudget) SetPercent(percent int) { b.percent.Store(uint64(max(0, percent))) }
+
 // Request counts a request, not its retries.
 func (b *RetryBudget) Request(now time.Time) {
 	second := b.advance(now)
@@ -61,11 +65,15 @@
 
 // Retry takes one retry from the budget and tells whether there was one.
 func (b *RetryBudget) Retry(now time.Time) bool {
+	percent := b.percent.Load()
+	if percent == 0 {
+		return false
+	}
 	second := b.advance(now)
 	for {
 		old := b.retries.Load()
 		next := old.at(max(second, old.second))
-		if (next.total()+1)*100 > minimumRetries*100+b.percent*b.served(next.second) {
+		if (next.total()+1)*100 > minimumRetries*100+percent*b.served(next.second) {
 			return false
 		}
 		granted := next // a copy, so that a refusal allocates nothing
--- a/service/catalog.go
+++ b/service/catalog.go
@@ -158,15 +158,17 @@
 	for i := range state.Config.Services {
 		spec := &state.Config.Services[i]
 		s, known := old.services[spec.Name]
-		if !known || s.Queue.limit != spec.QueueLimit || s.Retries.percent != uint64(spec.RetryPercent) {
+		if !known {
 			s = New(spec.Name, spec.QueueLimit, spec.RetryPercent, c.policy.New())
 		}
+		s.Queue.SetLimit(spec.QueueLimit)
+		s.Retries.SetPercent(spec.RetryPercent)
 		next.services[spec.Name] = s
 		s.Replace(NewView(state.Version, c.zones(old, next, spec)))
 	}
 	c.current.Store(next)
 	for name, s := range old.services {
-		if next.services[name] != s {
+		if next.services[name] == nil {
 			s.Replace(&View{Version: state.Version})
 		}
 	}
--- a/service/queue.go
+++ b/service/queue.go
@@ -99,6 +99,13 @@
 // NewQueue returns a queue that holds up to limit requests.
 func NewQueue(limit int) *Queue { return &Queue{limit: limit, unclaimed: 1} }
 
+// SetLimit changes the bound. Requests above a lower one keep their places.
+func (q *Queue) SetLimit(limit int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.limit = limit
+}
+
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int {
 	q.mu.Lock()
