--- a/service/queue_test.go
+++ b/service/queue_test.go
@@ -218,11 +218,11 @@
 			now = now.Add(10 * time.Millisecond)
 			q.Released(now)
 		}
-		Expect(join(2 * time.Second)).To(Succeed(), "20 ahead after a long first interval")
+		Expect(join(2*time.Second)).To(Succeed(), "20 ahead after a long first interval")
 		now = now.Add(300 * time.Millisecond)
-		Expect(join(3 * time.Second)).To(Succeed(), "21 ahead after a pause")
+		Expect(join(3*time.Second)).To(Succeed(), "21 ahead after a pause")
 		now = now.Add(10 * time.Second)
-		Expect(join(3 * time.Second)).NotTo(Succeed(), "21 ahead and no release for long")
+		Expect(join(3*time.Second)).NotTo(Succeed(), "21 ahead and no release for long")
 	})
 
 	// Guards against a full queue of reports that keeps interactive requests
