link: pause between connections that end at once

Cause: a broken link wakes the dialer, which did not wait for the pause between attempts. A server that closes each connection at once got them without a pause (seen in a spec: 65 within 23 ms). Change: the first connection of a generation waits, and the pause grows while generations end without an answer.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -206,4 +206,13 @@
 		Consistently(s.accepted.Load).WithTimeout(200 * time.Millisecond).Should(BeNumerically("<=", 5))
 		Expect(take(set).Alive()).To(BeTrue())
 	})
+
+	// Guards against a server that closes each connection at once, as one that
+	// is overloaded may do, and gets thousands of connections per second.
+	It("pauses between connections that end at once", func() {
+		s := newServer(func(_ int32, conn net.Conn) { _ = conn.Close() })
+		runSet(newTarget(s.address()))
+		Eventually(s.accepted.Load).Should(BeNumerically(">=", 3))
+		Consistently(s.accepted.Load).WithTimeout(300 * time.Millisecond).Should(BeNumerically("<=", 60))
+	})
 })
--- a/link/owner.go
+++ b/link/owner.go
@@ -38,6 +38,11 @@
 	warmup  *target.Warmup
 	answers uint64
 	usedAt  time.Time
+
+	redial     time.Duration // pause before the next attempt to connect
+	dialAt     time.Time     // no attempt before this time
+	generation uint32        // of the last attempt
+	answered   uint64        // whole answers when that generation began
 }
 
 // Run opens links and steps the warm-up until the context ends. It returns
@@ -45,20 +50,19 @@
 // back, so that no request in flight is cut.
 func (s *Set) Run(ctx context.Context) {
 	defer s.close()
-	o := &owner{Set: s, warmup: target.NewWarmup(s.target, s.terms.Cold)}
+	o := &owner{Set: s, warmup: target.NewWarmup(s.target, s.terms.Cold), redial: firstRedial}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	redial := firstRedial
 	for {
-		pause := o.step(time.Now())
+		now := time.Now()
+		pause := o.step(now)
 		if s.missing() {
-			if err := o.dial(ctx); err != nil {
-				pause = jitter(redial)
-				redial = min(2*redial, maxRedial)
-			} else {
-				redial = firstRedial
+			o.pace(now)
+			if !now.Before(o.dialAt) && o.dial(ctx) == nil {
 				continue
 			}
+			o.backOff(now)
+			pause = min(pause, time.Until(o.dialAt))
 		}
 		if s.wantProof.Load() && s.terms.Probes.Take(time.Now()) {
 			o.probe(ctx)
@@ -73,6 +77,33 @@
 	}
 }
 
+// pace delays the first connection of a generation if the one before ended. If
+// that brought no answer, the pause grows: a server that closes each connection
+// would otherwise get thousands per second.
+func (o *owner) pace(now time.Time) {
+	_, generation := o.target.State()
+	if generation == o.generation {
+		return
+	}
+	answers := o.target.Answers()
+	if answers != o.answered {
+		o.redial = firstRedial
+	}
+	if o.generation != 0 {
+		o.backOff(now)
+	}
+	o.generation, o.answered = generation, answers
+}
+
+// backOff sets the time of the next attempt, unless it is set already.
+func (o *owner) backOff(now time.Time) {
+	if now.Before(o.dialAt) {
+		return
+	}
+	o.dialAt = now.Add(jitter(o.redial))
+	o.redial = min(2*o.redial, maxRedial)
+}
+
 // jitter spreads the redials of many instances to a target that comes back.
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d)
