e2e: warm all instances up, and let a grant end during the freeze

The surges of the warm-up could be too small for an instance to need its last cold target (seen once: entry-3 at orders-2 for 30 s); they are larger now. The deadlines of the cold start specs are 1 s, so that a grant to the frozen holder ends after 3 s, before it wakes. The frozen spec also passes with the check of the lease before a write disabled: it does not prove that check.

--- a/internal/e2e/coldstart_test.go
+++ b/internal/e2e/coldstart_test.go
@@ -18,12 +18,12 @@
 
 // coldOrders has targets that bear one request while cold, fewer than there are
 // instances. Its deadlines are short, because a lease whose holder is lost is
-// kept for the longest run of a request.
+// kept for the longest run of a request: here it ends during the freeze.
 func coldOrders(targets int, cold time.Duration) fleet.ServicePlan {
 	plan := busyOrders(targets)
 	plan.Cold.DurationMs = int(cold.Milliseconds())
 	for i := range plan.Classes {
-		plan.Classes[i].DeadlineMs = 3000
+		plan.Classes[i].DeadlineMs = 1000
 	}
 	return plan
 }
--- a/internal/e2e/traffic_test.go
+++ b/internal/e2e/traffic_test.go
@@ -204,10 +204,11 @@
 }
 
 // warmUp sends load until every instance has used every target. A cold target
-// is used by one instance alone, so all are warm then.
+// is used by one instance alone, so all are warm then. The surges are large
+// enough that every instance runs out of warm targets and needs the cold ones.
 func warmUp(ctx context.Context, f *fleet.Fleet) {
 	GinkgoHelper()
-	load := startTraffic(ctx, f, mix{Rate: 100, Surge: 60, Seed: 1})
+	load := startTraffic(ctx, f, mix{Rate: 100, Surge: 150, Seed: 1})
 	Eventually(ctx, func() (missing []string) {
 		for _, t := range f.Targets {
 			users := map[string]bool{}
