daemon: end the consents of an incarnation only if the roster has replaced it

Cause: a late heartbeat of an earlier process of a peer ended the consents that its successor had got, so that a second instance could hold the lease on a cold target. A drain notice that came after a restart marked the new process. Change: the roster decides which incarnation is newer; a drain notice applies to the generation that gave it. Result: the new spec of the heartbeat failed before and passes (go test -race ./daemon/ ./exchange/). The drain notice has no spec of its own.

--- a/daemon/inbound.go
+++ b/daemon/inbound.go
@@ -27,18 +27,23 @@
 // Beat implements peerwire.Handler.
 func (h *inbound) Beat(from peerwire.Identity, beat instance.Beat) {
 	h.post(func(now time.Time) {
-		if before, known := h.Roster.View().Peer(from.ID); known && before.Incarnation != 0 && before.Incarnation != from.Incarnation {
-			// A new incarnation answers at the address of the old one, so the
-			// old process has ended.
-			h.Broker.Gone(lease.Holder{Instance: from.ID, Incarnation: before.Incarnation})
-		}
-		h.Standing.isolation.PeerHeard(now)
-		h.Roster.Heard(now, beat)
-		h.loads.Heard(now, beat)
+		h.heard(now, from, beat)
 		h.passConfig(from.ID, beat.From.ConfigVersion)
 	})
 }
 
+// heard takes a heartbeat in. The roster tells a new incarnation, at whose
+// address the process before it has ended, from a late heartbeat of that process.
+func (h *inbound) heard(now time.Time, from peerwire.Identity, beat instance.Beat) {
+	before, known := h.Roster.View().Peer(from.ID)
+	h.Standing.isolation.PeerHeard(now)
+	h.Roster.Heard(now, beat)
+	h.loads.Heard(now, beat)
+	if after, _ := h.Roster.View().Peer(from.ID); known && before.Incarnation != 0 && after.Incarnation != before.Incarnation {
+		h.Broker.Gone(lease.Holder{Instance: from.ID, Incarnation: before.Incarnation})
+	}
+}
+
 // passConfig sends the configuration in force to a peer that is behind, once per
 // version and heartbeat.
 func (h *inbound) passConfig(id string, theirs uint64) {
--- /dev/null
+++ b/daemon/inbound_test.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/coldstart"
+	"fulmarhoist.example/instance"
+	"fulmarhoist.example/lease"
+	"fulmarhoist.example/peerwire"
+	"fulmarhoist.example/service"
+)
+
+var _ = Describe("inbound", func() {
+	// Guards against two holders of the lease on a cold target: a late heartbeat
+	// of the process before must not end the consent that its successor got.
+	It("keeps the consent of a new incarnation when a late heartbeat of the old one arrives", func() {
+		now := time.Unix(1000, 0)
+		self := lease.Holder{Instance: "entry-1", Incarnation: 9}
+		broker := coldstart.NewBroker(self, nil, &knownTargets{catalog: service.NewCatalog("az-1", nil)},
+			func() *coldstart.Members { return &coldstart.Members{} })
+		h := &inbound{&cluster{
+			collaborators: collaborators{
+				Self: self, Broker: broker, Standing: &standing{isolation: instance.NewIsolation(now)},
+				Roster: instance.NewRoster(now, instance.Instance{ID: "entry-1", Incarnation: 9}),
+			},
+			loads: instance.NewLoads(instance.NewTable(0, nil)),
+		}}
+		beat := func(incarnation, sequence uint64) {
+			from := instance.Instance{ID: "entry-2", Incarnation: incarnation, Sequence: sequence}
+			h.heard(now, peerwire.Identity{ID: "entry-2", Incarnation: incarnation}, instance.Beat{From: from})
+		}
+		ask := func(from string, incarnation uint64) lease.Reply {
+			return broker.OnAsk(now, lease.Holder{Instance: from, Incarnation: incarnation}, coldstart.Ask{Target: "orders-1", Round: 1})
+		}
+		beat(1, 10)
+		Expect(ask("entry-2", 1)).To(Equal(lease.ReplyGranted))
+		beat(2, 20)
+		Expect(ask("entry-2", 2)).To(Equal(lease.ReplyGranted), "the process before has ended")
+		beat(1, 11)
+		Expect(ask("entry-3", 3)).To(Equal(lease.ReplyRefused))
+	})
+})
--- a/exchange/links.go
+++ b/exchange/links.go
@@ -69,9 +69,9 @@
 	return nil
 }
 
-// Draining reports that a target said it is leaving.
-func (l *Links) Draining(t *target.Target) {
-	_, generation := t.State()
+// Draining reports that the process of the given generation of a target said
+// that it is leaving. A later process may have taken its place since.
+func (l *Links) Draining(t *target.Target, generation uint32) {
 	if t.Transition(generation, target.StateLeaving, 0) {
 		l.draining(t)
 	}
--- a/exchange/sending.go
+++ b/exchange/sending.go
@@ -64,7 +64,7 @@
 	}
 	s.permit.Target.SawBootID(s.permit.Generation, answer.Header.Get(headerBootID))
 	if answer.Header.Get(headerDraining) != "" {
-		s.x.Links.Draining(s.permit.Target)
+		s.x.Links.Draining(s.permit.Target, s.permit.Generation)
 	}
 	if answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(headerNotRun) != "" {
 		return nil, s.declined(answer), &DeclinedError{s.permit.Target.Spec.Name}
