--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -121,7 +121,7 @@
 	}
 	server := httpapi.NewServer(d.drain.watch(d.front.Handler()))
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(callers) }()
+	go func() { served <- server.Serve(newLimitedListener(callers, maxCallerConnections)) }()
 	d.logger.Info().Str("event", "serving").Str("callers", d.settings.Callers.Advertise).Msg("serving callers")
 	ready(Ready{Instance: d.settings.Instance, Callers: callers.Addr().String(), Peers: peers.Addr().String()})
 	select {
