--- a/service/catalog.go
+++ b/service/catalog.go
@@ -15,6 +15,7 @@
 	State    config.State
 	services map[string]*Service
 	targets  map[targetKey]*target.Target
+	byName   map[string]*target.Target // names are unique among all services
 }
 
 // targetKey holds every property of a target that needs a new object when it
@@ -31,14 +32,7 @@
 }
 
 // Target returns the target with the given name, or nil.
-func (s *Snapshot) Target(name string) *target.Target {
-	for key, t := range s.targets {
-		if key.spec.Name == name {
-			return t
-		}
-	}
-	return nil
-}
+func (s *Snapshot) Target(name string) *target.Target { return s.byName[name] }
 
 // TargetNames returns the names of all configured targets, also of those that
 // get no work, so that instances with one configuration list the same ones.
@@ -153,6 +147,7 @@
 		State:    state,
 		services: make(map[string]*Service, len(state.Config.Services)),
 		targets:  make(map[targetKey]*target.Target),
+		byName:   make(map[string]*target.Target),
 	}
 	for i := range state.Config.Services {
 		spec := &state.Config.Services[i]
@@ -195,6 +190,7 @@
 				kept = c.newTarget(key.spec)
 			}
 			next.targets[key] = kept
+			next.byName[t.Name] = kept
 			made.Targets = append(made.Targets, kept)
 		}
 	}
