--- a/internal/bench/capacity/deployment_test.go
+++ b/internal/bench/capacity/deployment_test.go
@@ -100,8 +100,7 @@
 	}
 }
 
-// awaitLinks waits until every instance has all its links, or the count has not
-// changed for 3 s: an idle target keeps links that no answer has certified.
+// awaitLinks waits until every instance has all its links.
 func (d *deployment) awaitLinks(b *testing.B, s shape) {
 	b.Helper()
 	want := int64(s.instances * s.targets * max(1, s.links))
@@ -148,7 +147,7 @@
 // the services.
 func (d *deployment) use(b *testing.B, to *fleet.Instance, services, count int) {
 	b.Helper()
-	const workers = 32
+	const workers = 128
 	var group sync.WaitGroup
 	var next, failed atomic.Int64
 	for range workers {
--- a/internal/bench/capacity/processes_bench_test.go
+++ b/internal/bench/capacity/processes_bench_test.go
@@ -36,7 +36,7 @@
 	cases = append(cases,
 		idle("warm/targets=1000/instances=1/links=1", shape{targets: 1000, instances: 1, links: 1, services: 29}),
 		idle("warm/targets=1000/instances=1/links=4", shape{targets: 1000, instances: 1, links: 4, services: 29}),
-		idleCase{"cold/targets=1000/instances=3", shape{targets: 1000, instances: 3, links: 2, services: 29, answers: 5}, true, false},
+		idleCase{"cold/targets=1000/instances=3/links=2", shape{targets: 1000, instances: 3, links: 2, services: 29, answers: 5}, true, false},
 		idleCase{"unlisted/targets=1000/instances=3", shape{targets: 1000, instances: 3, links: 2, services: 29}, false, true},
 	)
 	for _, c := range cases {
@@ -51,6 +51,7 @@
 func (c idleCase) run(b *testing.B) {
 	d := deploy(b, c.shape, c.listed)
 	if c.use {
+		d.targets.slow.Store(true)
 		for _, i := range d.Instances {
 			d.use(b, i, c.services, 12*c.targets)
 		}
--- a/internal/bench/capacity/targets_test.go
+++ b/internal/bench/capacity/targets_test.go
@@ -14,6 +14,7 @@
 type targets struct {
 	addresses []string
 	conns     atomic.Int64
+	slow      atomic.Bool
 	server    http.Server
 }
 
@@ -21,7 +22,7 @@
 	tb.Helper()
 	t := &targets{}
 	t.server.ReadHeaderTimeout = time.Minute
-	t.server.Handler = http.HandlerFunc(answer)
+	t.server.Handler = http.HandlerFunc(t.answer)
 	t.server.ConnState = func(_ net.Conn, state http.ConnState) {
 		switch state {
 		case http.StateNew:
@@ -43,12 +44,19 @@
 	return t
 }
 
-func answer(w http.ResponseWriter, r *http.Request) {
+// slowAnswer is longer than what an instance expects of a target that it has not
+// used yet, so that it prefers those.
+const slowAnswer = 25 * time.Millisecond
+
+func (t *targets) answer(w http.ResponseWriter, r *http.Request) {
 	w.Header()["Fulmarhoist-Attempt-Id"] = r.Header["Fulmarhoist-Attempt-Id"]
 	w.Header().Set("Fulmarhoist-Boot-Id", "boot")
 	if r.URL.Path == "/fulmarhoist-load" {
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
+	if t.slow.Load() {
+		<-time.After(slowAnswer)
+	}
 	_, _ = io.WriteString(w, `{"done":true}`)
 }
