instance: let newcomers hear from all listed instances within seconds

A lease on a cold target needs a heartbeat from every listed instance. Above 8 instances heartbeats go to ring successors and two random peers, so a newcomer heard from everyone only after the random choice had brought each pair together, and every restart took the permission away from all other instances as well.

An instance now sends one heartbeat to a listed peer that it has not heard directly, at most 16 per interval and 1 s after it learned of the process, and the first heartbeat of a peer is answered.

--- a/instance/gossip.go
+++ b/instance/gossip.go
@@ -20,6 +20,13 @@
 	// transferPage is how many records one heartbeat passes to a peer that has
 	// started or was out of reach; 200 instances take four heartbeats.
 	transferPage = 64
+	// greetingsPerBeat bounds the peers that are sent a heartbeat only because
+	// they have not sent one yet. Each may cost a connection and a handshake; 200
+	// instances take 13 heartbeats.
+	greetingsPerBeat = 16
+	// greetAfter is how long news of a process spreads before it is greeted. Two
+	// instances that know each other by then do not pass on their rosters.
+	greetAfter = 2 * HeartbeatInterval
 	// randomKept is how long the random peers stay the same. Each new one costs
 	// a connection and a handshake.
 	randomKept = 30 * time.Second
@@ -176,6 +183,7 @@
 			rec.owed = false
 		}
 	}
+	r.greet(now, chosen)
 	r.successors = r.ringSuccessors()
 	for _, id := range r.successors {
 		chosen[id] = ExpectMore
@@ -186,6 +194,22 @@
 	return r.recipients(chosen)
 }
 
+// greet adds listed peers that this instance has not heard directly. They answer
+// once, so that the permission for leases does not wait until the ring or a
+// random choice brings every pair together.
+func (r *Roster) greet(now time.Time, chosen map[string]Expectation) {
+	count := 0
+	for i := range r.order {
+		// Peers that cannot be reached must not keep others from their turn.
+		rec := r.records[r.order[(i+int(r.beats%uint64(len(r.order)))*greetingsPerBeat)%len(r.order)]]
+		known := rec.Incarnation != 0 && rec.State == StateLive && now.Sub(rec.runsSince) >= greetAfter
+		if known && rec.listed && rec.direct.IsZero() && count < greetingsPerBeat {
+			chosen[rec.ID] = ExpectNone
+			count++
+		}
+	}
+}
+
 func (r *Roster) allPeers() map[string]Expectation {
 	chosen := map[string]Expectation{}
 	for id, rec := range r.records {
--- a/instance/roster.go
+++ b/instance/roster.go
@@ -28,6 +28,7 @@
 type record struct {
 	Instance
 	knownSince time.Time
+	runsSince  time.Time // when the incarnation became known
 	direct     time.Time // last heartbeat from the peer itself, zero if none
 	directSeq  uint64
 	expect     Expectation
@@ -135,6 +136,8 @@
 	if known != from.Incarnation || before != StateLive {
 		rec.transfer = len(r.order)
 	}
+	// The first heartbeat is answered: the peer may wait to hear from all others.
+	rec.owed = rec.owed || rec.direct.IsZero()
 	rec.direct, rec.directSeq, rec.expect, rec.broken = now, from.Sequence, beat.Expect, false
 	if rec.State == StateLive {
 		rec.HeardAt = now
@@ -166,7 +169,7 @@
 // replace sets the record to another incarnation, whose own words count alone.
 func (r *Roster) replace(now time.Time, rec *record, news Instance) {
 	rec.Instance = news
-	rec.HeardAt = now
+	rec.HeardAt, rec.runsSince = now, now
 	rec.direct, rec.directSeq, rec.expect, rec.broken = time.Time{}, 0, ExpectNone, false
 	rec.ringSince = time.Time{}
 	r.spread(rec)
--- a/instance/roster_test.go
+++ b/instance/roster_test.go
@@ -193,6 +193,20 @@
 		w.run(3*time.Second, nil)
 		Expect(w.converged()).To(Succeed())
 	})
+
+	// Guards against a restart that takes the permission for cold-start leases
+	// away from all instances until the ring brings every pair together.
+	It("lets 50 instances and a restarted one hear from each other within 3 s", func() {
+		w := newWorld(5, 50)
+		w.delay = 40 * time.Millisecond
+		w.run(10*time.Second, nil)
+		w.kill("entry-007")
+		w.start("entry-007", 0)
+		w.run(3*time.Second, nil)
+		for id, n := range w.nodes {
+			Expect(n.roster.View().HeardAllListed).To(BeTrue(), id)
+		}
+	})
 })
 
 // incarnationOrder checks that no roster returns to an incarnation that it has
