--- a/internal/bench/capacity/newcomer_bench_test.go
+++ b/internal/bench/capacity/newcomer_bench_test.go
@@ -19,6 +19,8 @@
 	rosters []*instance.Roster
 	byID    map[string]int
 	listing platform.Listing
+	// frames and bytes sent so far, by sender.
+	frames, bytes map[int]float64
 }
 
 func (v *village) join() {
@@ -36,12 +38,18 @@
 		r.Listed(v.now, v.listing)
 		r.Tick(v.now)
 	}
-	for _, r := range v.rosters {
+	for n, r := range v.rosters {
 		beat := r.NextBeat(v.now)
 		for _, to := range r.Recipients(v.now, v.random.Uint64()) {
 			own := beat
 			own.Expect = to.Expect
 			own.Deltas = append(append([]instance.Instance(nil), beat.Deltas...), to.Transfer...)
+			frame, err := peerwire.EncodeFrame(&peerwire.Beat{Beat: own})
+			if err != nil {
+				panic(err)
+			}
+			v.frames[n]++
+			v.bytes[n] += float64(len(frame))
 			v.rosters[v.byID[to.Instance.ID]].Heard(v.now, own)
 		}
 	}
@@ -52,10 +60,12 @@
 // directly, before which it asks for no lease on cold targets.
 func BenchmarkNewcomer(b *testing.B) {
 	const limit = 2 * time.Hour
-	for _, count := range []int{7, 9, 30, 60} {
+	const joinSpan = 10 * time.Second // in which bytes are counted
+	for _, count := range []int{7, 9, 30, 60, 200} {
 		b.Run(fmt.Sprintf("instances=%d", count), func(b *testing.B) {
 			for b.Loop() {
 				v := &village{now: start, random: rand.New(rand.NewPCG(1, uint64(count))), byID: map[string]int{}}
+				v.frames, v.bytes = map[int]float64{}, map[int]float64{}
 				for range count - 1 {
 					v.join()
 				}
@@ -65,6 +75,8 @@
 				v.join()
 				joined, known := v.now, time.Duration(0)
 				newcomer := v.rosters[count-1]
+				clear(v.frames)
+				clear(v.bytes)
 				for v.now.Sub(joined) < limit {
 					v.interval()
 					view := newcomer.View()
@@ -77,6 +89,16 @@
 				}
 				b.ReportMetric(known.Seconds(), "s-until-known")
 				b.ReportMetric(v.now.Sub(joined).Seconds(), "s-until-heard-all")
+				for v.now.Sub(joined) < joinSpan {
+					v.interval()
+				}
+				others := 0.0
+				for n := range count - 1 {
+					others += v.bytes[n]
+				}
+				b.ReportMetric(v.frames[count-1], "newcomer-frames")
+				b.ReportMetric(v.bytes[count-1], "newcomer-B")
+				b.ReportMetric(others/float64(count-1), "other-B")
 				b.ReportMetric(0, "ns/op")
 			}
 		})
--- a/internal/bench/capacity/state_bench_test.go
+++ b/internal/bench/capacity/state_bench_test.go
@@ -26,8 +26,10 @@
 }
 
 var sizes = []shape{
-	{targets: 20, services: 1, instances: 7, links: 4}, {targets: 100, services: 1, instances: 7, links: 4},
-	{targets: 1000, services: 1, instances: 7, links: 4}, {targets: 1000, services: 29, instances: 7, links: 4},
+	{targets: 20, services: 1, instances: 7, links: 4},
+	{targets: 100, services: 1, instances: 7, links: 4},
+	{targets: 1000, services: 1, instances: 7, links: 4},
+	{targets: 1000, services: 29, instances: 7, links: 4},
 }
 
 func (s shape) String() string { return fmt.Sprintf("targets=%d/services=%d", s.targets, s.services) }
