--- a/internal/bench/capacity/deployment_test.go
+++ b/internal/bench/capacity/deployment_test.go
@@ -20,12 +20,16 @@
 	"fulmarhoist.example/platform"
 )
 
+// programs is the folder that buildPrograms made, if it was called.
+var programs string
+
 // buildPrograms makes the programs under test once.
 var buildPrograms = sync.OnceValues(func() (string, error) {
 	bin, err := os.MkdirTemp("", "fulmarhoist-capacity")
 	if err != nil {
 		return "", fmt.Errorf("make a folder for programs: %w", err)
 	}
+	programs = bin
 	build := exec.Command("go", "build", "-o", bin+string(os.PathSeparator), "./cmd/...", "./internal/standin/cmd/...")
 	build.Dir = filepath.Join("..", "..", "..")
 	if output, err := build.CombinedOutput(); err != nil {
@@ -36,8 +40,8 @@
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	if bin, err := buildPrograms(); err == nil {
-		_ = os.RemoveAll(bin)
+	if programs != "" {
+		_ = os.RemoveAll(programs)
 	}
 	os.Exit(code)
 }
