--- a/internal/standin/measure/measure.go
+++ b/internal/standin/measure/measure.go
@@ -65,15 +65,15 @@
 	print(out io.Writer) error
 }
 
-// Measure runs one measure.
-type Measure func(ctx context.Context, s *Settings) (Result, error)
+// runner runs one measure.
+type runner func(ctx context.Context, s *Settings) (Result, error)
 
 // Run runs the measures, by name, in order, and prints their results.
 func Run(ctx context.Context, s *Settings, names ...string) error {
 	if err := s.check(); err != nil {
 		return err
 	}
-	all := map[string]Measure{"tail": Tail, "cost": Cost, "zones": Zones}
+	all := map[string]runner{"tail": Tail, "cost": Cost, "zones": Zones}
 	results := map[string]any{"seed": s.Seed, "date": time.Now().UTC().Format(time.RFC3339)}
 	for _, name := range names {
 		measure, known := all[name]
