--- a/internal/standin/measure/latency.go
+++ b/internal/standin/measure/latency.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"fulmarhoist.example/internal/loadgen"
@@ -43,6 +44,16 @@
 	return append(rows, rowOf(d, part, &report.Total))
 }
 
+// bySecond lists the p99 of each second, which tells a stall of the machine from
+// a slow situation.
+func bySecond(report *loadgen.Report) string {
+	var text strings.Builder
+	for _, second := range report.Seconds {
+		_, _ = fmt.Fprintf(&text, " %.0f", fromMicros(second.P99US))
+	}
+	return text.String()
+}
+
 func fromMicros(us int64) float64 { return float64(us) / 1000 }
 
 func millis(d time.Duration) float64 { return fromMicros(d.Microseconds()) }
--- a/internal/standin/measure/tail.go
+++ b/internal/standin/measure/tail.go
@@ -101,7 +101,6 @@
 	result := &TailResult{Targets: tailTargets, Slots: tailSlots, Instances: tailInstances, Load: tailShare}
 	for number, situation := range situations() {
 		for _, d := range deployments {
-			s.say("tail: %s, %s", situation.name, d.policy)
 			load := traffic.Load{Rate: tailShare * d.rate, Length: tailLength, Seed: s.Seed + uint64(number)}
 			d.sender.Phase = situation.name
 			report, err := d.sender.SendLoadWhile(ctx, load, func(ctx context.Context) error {
@@ -110,6 +109,7 @@
 			if err != nil {
 				return nil, fmt.Errorf("load %s with %s: %w", situation.name, d.policy, err)
 			}
+			s.say("tail: %s, %s: p99 by second in ms:%s", situation.name, d.policy, bySecond(report))
 			result.Rows = append(result.Rows, rowsOf(d, situation.name, report)...)
 		}
 	}
