standin measure: start the load when all instances name each other

Requests of one availability zone stalled for 280 ms about 24 s after the start, in whatever situation was measured then, and its p99 was 140 to 255 ms. The callers of that zone had got their directory from an instance that had no configuration yet: it named a part of the instances, with the default lifetime of 30 s. After 22.5 s they learned of another instance, and all its targets were cold. Measures now wait until each instance serves and names all.

--- a/internal/standin/measure/measure.go
+++ b/internal/standin/measure/measure.go
@@ -135,6 +135,10 @@
 		d.stop()
 		return nil, fmt.Errorf("start the deployment: %w", err)
 	}
+	if err = d.fleet.AwaitSettled(ctx); err != nil {
+		d.stop()
+		return nil, fmt.Errorf("wait for the instances: %w", err)
+	}
 	if d.sender, err = traffic.NewSender(d.fleet, kinds); err != nil {
 		d.stop()
 		return nil, err
