target: take the load of other instances from the answers of the server

docs/design.md, section 3.9, has load reports on responses, and targets send them, but the choice used only the heartbeats of the peers, which come every 500 ms, as long as 25 requests. Servers with 2 slots and 3 instances queued while others were idle. The choice now also averages the load in each answer, with a half-life of 50 ms; a report counts for at most 8 requests per slot.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -34,6 +34,7 @@
 	headerKey       = "Fulmarhoist-Request-Key"
 	headerInstance  = "Fulmarhoist-Instance"
 	headerBootID    = "Fulmarhoist-Boot-Id"
+	headerLoad      = "Fulmarhoist-Load"
 	headerNotRun    = "Fulmarhoist-Not-Run"
 	headerDraining  = "Fulmarhoist-Draining"
 )
--- a/exchange/sending.go
+++ b/exchange/sending.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"fulmarhoist.example/contract"
@@ -63,6 +65,9 @@
 		return nil, s.discarded(answer), err
 	}
 	s.permit.Target.SawBootID(s.permit.Generation, answer.Header.Get(headerBootID))
+	if inside, ok := reportedLoad(answer.Header); ok {
+		s.permit.Target.ReportServer(time.Now(), inside)
+	}
 	if answer.Header.Get(headerDraining) != "" {
 		s.x.Links.Draining(s.permit.Target)
 	}
@@ -82,6 +87,16 @@
 	return response, 0, nil
 }
 
+// reportedLoad reads the requests that the target had inside when it answered.
+func reportedLoad(header http.Header) (inside int, ok bool) {
+	text, _, found := strings.Cut(header.Get(headerLoad), "/")
+	if !found {
+		return 0, false
+	}
+	inside, err := strconv.Atoi(text)
+	return inside, err == nil && inside >= 0
+}
+
 // declined discards the body of a refusal and keeps the link if it is short.
 func (s *sending) declined(answer *http.Response) contract.Failure {
 	_, err := readResponse(answer)
--- a/target/target.go
+++ b/target/target.go
@@ -258,6 +258,13 @@
 	// peerAverageHalfLife is the time in which the weight of a report in the
 	// average of reports halves. It is several times the age of a report.
 	peerAverageHalfLife = 700 * time.Millisecond
+	// serverAverageHalfLife is the same for the loads that the server reports
+	// with its answers. They are a few milliseconds old, and each instance gets
+	// others, so that instances do not follow them all at once.
+	serverAverageHalfLife = 50 * time.Millisecond
+	// maxReported bounds a reported load, in slots: one wrong report must not
+	// keep work away for long.
+	maxReported = 8
 )
 
 // Answered records a whole answer and its response time.
@@ -335,11 +342,27 @@
 	if math.IsNaN(inFlight) || inFlight < 0 || math.IsInf(inFlight, 1) {
 		return
 	}
+	t.averagePeers(now, inFlight, peerAverageHalfLife)
+}
+
+// ReportServer records the requests that the server had inside when it answered.
+// It is called before the permit of the answered request is released. What is
+// not in flight from this instance is from the others.
+func (t *Target) ReportServer(now time.Time, inside int) {
+	if inside < 0 {
+		return
+	}
+	inside = min(inside, maxReported*max(1, t.Spec.Slots))
+	others := max(0, inside-max(0, t.InFlight()-1))
+	t.averagePeers(now, float64(others), serverAverageHalfLife)
+}
+
+func (t *Target) averagePeers(now time.Time, inFlight float64, halfLife time.Duration) {
 	last := t.peerAt.Swap(now.UnixNano())
 	weight := 1.0
 	if last != 0 {
 		passed := max(0, time.Duration(now.UnixNano()-last))
-		weight = 1 - math.Exp2(-passed.Seconds()/peerAverageHalfLife.Seconds())
+		weight = 1 - math.Exp2(-passed.Seconds()/halfLife.Seconds())
 	}
 	for {
 		old := t.peerLoad.Load()
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -53,6 +53,26 @@
 		Expect(t.InFlight()).To(BeZero())
 	})
 
+	// Guards against requests of other instances that are noticed only with their
+	// next heartbeat, and against a server that reports an impossible load.
+	It("takes the load of others from the answers of the server", func() {
+		t.Transition(1, target.StateWarm, 4)
+		idle := t.ExpectedDelay(now)
+		_, _ = t.Admit(now)
+		_, _ = t.Admit(now)
+		t.ReportServer(now, 1)
+		Expect(t.ExpectedDelay(now)).To(Equal(idle), "the request inside is this instance's other one")
+		t.ReportServer(now.Add(time.Second), 8)
+		Expect(t.ExpectedDelay(now.Add(time.Second))).To(BeNumerically("~", idle*10/4, idle/100))
+		for i := range 20 {
+			t.ReportServer(now.Add(time.Duration(2+i)*time.Second), 1<<30)
+		}
+		Expect(t.ExpectedDelay(now.Add(21 * time.Second))).To(BeNumerically("<=", idle*34/4))
+		before := t.ExpectedDelay(now.Add(21 * time.Second))
+		t.ReportServer(now.Add(21*time.Second), -1)
+		Expect(t.ExpectedDelay(now.Add(21 * time.Second))).To(Equal(before))
+	})
+
 	// Guards against a restart that is noticed after a request was admitted: the
 	// request must not go to the new, cold process.
 	It("takes back permits of the old process at a restart", func() {
