Say 'not run' before the first configuration only where it is certain

Cause: found by review. An instance without a configuration answered 'not run' before it looked at the key, also for a key that another instance may have run; the caller would have sent the work again under a new key. Change: such a key gives 'unknown' unless this instance owns it and opens it now; it is then recorded as not run. Result: the new spec fails on the code before ('not-run' for a foreign key) and passes.

--- a/daemon/inbound_test.go
+++ b/daemon/inbound_test.go
@@ -19,7 +19,7 @@
 	It("keeps the consent of a new incarnation when a late heartbeat of the old one arrives", func() {
 		now := time.Unix(1000, 0)
 		self := lease.Holder{Instance: "entry-1", Incarnation: 9}
-		broker := coldstart.NewBroker(self, nil, &knownTargets{catalog: service.NewCatalog("az-1", nil)},
+		broker := coldstart.NewBroker(self, nil, &knownTargets{catalog: service.NewCatalog("az-1", service.PolicyShortestExpectedDelay)},
 			func() *coldstart.Members { return &coldstart.Members{} })
 		h := &inbound{&cluster{
 			collaborators: collaborators{
--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -111,7 +111,7 @@
 	}
 	snapshot := f.Catalog.Snapshot()
 	if snapshot.State.Config == nil {
-		writeRefusal(w, 0, &contract.Refusal{Outcome: contract.OutcomeNotRun, Reason: contract.ReasonNoConfig, RetryAfter: time.Second})
+		writeRefusal(w, 0, f.unconfigured(now, r.Header.Get(headerKey)))
 		return
 	}
 	a, err := readTerms(r, snapshot, now)
@@ -134,6 +134,26 @@
 	f.serveKeyed(ctx, w, a, request)
 }
 
+// unconfigured refuses a request before the first configuration. A request with
+// a key did not run only if this instance owns the key and has not opened it
+// before; it is then recorded as not run, so that no later copy runs.
+func (f *Front) unconfigured(now time.Time, keyText string) *contract.Refusal {
+	refusal := &contract.Refusal{Outcome: contract.OutcomeNotRun, Reason: contract.ReasonNoConfig, RetryAfter: time.Second}
+	if keyText == "" {
+		return refusal
+	}
+	key, err := contract.ParseKey(keyText)
+	if err == nil {
+		if entry, first, err := f.Ledger.Open(now, key); err == nil && first {
+			f.Ledger.Settle(key, entry, contract.Answer{Refusal: refusal})
+			return refusal
+		}
+	}
+	return &contract.Refusal{
+		Outcome: contract.OutcomeUnknown, Reason: contract.ReasonNoConfig, RetryAfter: time.Second, Owner: key.Ticket.Instance,
+	}
+}
+
 // limitTransfer bounds the size of the body and the time that a slow caller may
 // take to send it and to read the answer.
 func limitTransfer(w http.ResponseWriter, r *http.Request, a *accepted) {
--- a/httpapi/front_test.go
+++ b/httpapi/front_test.go
@@ -110,6 +110,22 @@
 		Expect(runs.Load()).To(BeZero())
 	})
 
+	// Guards against "not run" for a key that another instance owns and may have
+	// run, and against a copy that runs after this instance said so of its own key.
+	It("reports 'not run' before the first configuration only for keys of its own", func(ctx SpecContext) {
+		var runs atomic.Int32
+		f := newFront(func(http.ResponseWriter, *http.Request) { runs.Add(1) })
+		configured := f.Catalog
+		f.Catalog = service.NewCatalog("az-1", service.PolicyShortestExpectedDelay)
+		foreign := reorder(ctx, http.MethodPost, "/orders", strings.NewReader("{}"))
+		foreign.Header.Set("Fulmarhoist-Request-Key", "entry-2.0000000000000002.0/reorder-1")
+		Expect(send(f, foreign).Header.Get("Fulmarhoist-Outcome")).To(Equal("unknown"))
+		Expect(send(f, reorder(ctx, http.MethodPost, "/orders", strings.NewReader("{}"))).Header.Get("Fulmarhoist-Outcome")).To(Equal("not-run"))
+		f.Catalog = configured
+		Expect(send(f, reorder(ctx, http.MethodPost, "/orders", strings.NewReader("{}"))).Header.Get("Fulmarhoist-Outcome")).To(Equal("not-run"))
+		Expect(runs.Load()).To(BeZero())
+	})
+
 	// Guards against copies that wait until their deadline for an outcome that
 	// never comes.
 	It("records an outcome for a request that panicked", func(ctx SpecContext) {
