Tell an answer that is no longer held apart, and pass crashes to newcomers

Cause: found by review. The caller's library took status 410 'answer-not-kept' for a target's answer; an outcome recorded at the owner did not show as replayed through another instance; a new instance did not know earlier crashes. Result: go test ./caller ./httpapi ./daemon ./contract passes; no spec of its own yet for the three changes.

--- a/caller/call.go
+++ b/caller/call.go
@@ -113,6 +113,9 @@
 	}
 	switch c.plan.Verdict() {
 	case resend.VerdictAnswered:
+		if c.response == nil && isA[*notKeptError](c.cause) {
+			return nil, &AnswerNotKeptError{trail}
+		}
 		if c.response == nil {
 			return nil, &AnswerTooLargeError{trail, c.client.options.MaxAnswerBytes}
 		}
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -93,6 +93,21 @@
 
 func (e *InvalidError) Error() string { return e.text("request is invalid") }
 
+// AnswerNotKeptError reports a request that ran and was answered, and whose answer
+// the product no longer holds: it was too long to be kept for a resend.
+type AnswerNotKeptError struct{ Trail }
+
+func (e *AnswerNotKeptError) Error() string {
+	return e.text("request ran, but its answer is no longer held")
+}
+
+// notKeptError is the cause of an AnswerNotKeptError.
+type notKeptError struct{ instance string }
+
+func (e *notKeptError) Error() string {
+	return fmt.Sprintf("instance %s no longer holds the answer", e.instance)
+}
+
 // AnswerTooLargeError reports an answer longer than Options.MaxAnswerBytes. The
 // request ran.
 type AnswerTooLargeError struct {
@@ -216,6 +231,8 @@
 		return "unreachable"
 	case isA[*AnswerTooLargeError](err):
 		return "answer-too-large"
+	case isA[*AnswerNotKeptError](err):
+		return outcomeNotKept
 	case isA[*RequestError](err):
 		return "bad-request"
 	default:
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -16,9 +16,14 @@
 // maxRefusalBytes bounds the JSON body of an outcome other than answered.
 const maxRefusalBytes = 64 << 10
 
+// outcomeNotKept is the outcome of a request that ran and was answered earlier,
+// and whose answer was too long to be kept.
+const outcomeNotKept = "answer-not-kept"
+
 // events maps the outcomes of the protocol to events of the plan.
 var events = map[string]resend.Event{
 	"answered":        resend.EventAnswered,
+	outcomeNotKept:    resend.EventAnswered,
 	"not-run":         resend.EventNotRun,
 	"unknown":         resend.EventUnknown,
 	"too-old":         resend.EventTooOld,
@@ -98,6 +103,9 @@
 	if !c.endIsMarked(answer) {
 		return broken("has neither a length nor chunks")
 	}
+	if answer.Header.Get(headerOutcome) == outcomeNotKept {
+		return nil, resend.Result{Event: event, Replayed: true}, &notKeptError{step.Instance.ID}
+	}
 	limit := c.client.options.MaxAnswerBytes
 	if event != resend.EventAnswered {
 		limit = maxRefusalBytes
--- a/contract/ledger.go
+++ b/contract/ledger.go
@@ -29,6 +29,7 @@
 	Header      map[string][]string
 	Body        []byte
 	BodyDropped bool // body and headers were too large to keep
+	Replayed    bool // the outcome was recorded before this copy came
 }
 
 // Entry is the record of one key. The goroutine that opened it settles it; any
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -47,7 +47,7 @@
 
 func answerOf(reply *peerwire.ForwardReply) contract.Answer {
 	if reply.Outcome != contract.OutcomeAnswered {
-		return contract.Answer{Refusal: &contract.Refusal{
+		return contract.Answer{Replayed: reply.Replayed, Refusal: &contract.Refusal{
 			Outcome: reply.Outcome, Reason: reply.Reason, RetryAfter: reply.RetryAfter, Owner: reply.Owner,
 		}}
 	}
@@ -56,7 +56,7 @@
 		header.Add(field.Name, field.Value)
 	}
 	return contract.Answer{
-		Status: reply.Status, Header: header, Body: reply.Body,
+		Status: reply.Status, Header: header, Body: reply.Body, Replayed: reply.Replayed,
 		BodyDropped: reply.Reason == contract.ReasonAnswerNotKept,
 	}
 }
--- a/daemon/inbound.go
+++ b/daemon/inbound.go
@@ -82,7 +82,9 @@
 		header.Add(field.Name, field.Value)
 	}
 	answer := h.front.ServeForwarded(ctx, m.Method, m.URI, header, m.Body)
-	reply := &peerwire.ForwardReply{Outcome: contract.OutcomeAnswered, Status: answer.Status, Body: answer.Body}
+	reply := &peerwire.ForwardReply{
+		Outcome: contract.OutcomeAnswered, Status: answer.Status, Body: answer.Body, Replayed: answer.Replayed,
+	}
 	if answer.BodyDropped {
 		reply.Reason = contract.ReasonAnswerNotKept
 	}
@@ -120,6 +122,11 @@
 // Connected implements peerwire.Handler.
 func (h *inbound) Connected(peer peerwire.Identity) {
 	h.Logger.Info().Str("event", "peer_connected").Str("peer", peer.ID).Msg("peer connected")
+	// A peer that has just started knows no crashes, and callers may send a
+	// crashing request through it.
+	for _, report := range h.Crashes.Reports(time.Now()) {
+		_ = h.mesh.Send(peer.ID, &peerwire.CrashReport{Fingerprint: report.Fingerprint[:], Target: report.Target})
+	}
 }
 
 // Broken implements peerwire.Handler.
--- a/httpapi/forward.go
+++ b/httpapi/forward.go
@@ -90,7 +90,9 @@
 	defer cancel()
 	select {
 	case <-entry.Done():
-		return *entry.Answer()
+		answer := *entry.Answer()
+		answer.Replayed = true
+		return answer
 	case <-ctx.Done():
 		return contract.Answer{Refusal: &contract.Refusal{
 			Outcome: contract.OutcomeUnknown, Reason: contract.ReasonDeadline, Owner: f.Instance,
--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -273,6 +273,9 @@
 }
 
 func (f *Front) writeAnswer(w http.ResponseWriter, a *accepted, answer *contract.Answer) {
+	if answer.Replayed {
+		w.Header().Set(headerReplayed, "1")
+	}
 	if answer.Refusal != nil {
 		f.refuse(w, a, 0, answer.Refusal)
 		return
--- a/httpapi/write.go
+++ b/httpapi/write.go
@@ -63,7 +63,7 @@
 // more. An empty body would look like the whole answer.
 func writeNotKept(w http.ResponseWriter) {
 	writeBody(w, http.StatusGone, &RefusalBody{
-		Outcome: contract.OutcomeAnswered.String(),
+		Outcome: string(contract.ReasonAnswerNotKept),
 		Reason:  string(contract.ReasonAnswerNotKept),
 		Detail:  "the request ran and was answered; the answer is too long to be kept",
 	})
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -42,7 +42,6 @@
 	failures  [8]*metrics.Counter // by contract.Failure; 0 counts answers
 	discarded *metrics.Counter
 	attempt   *metrics.Histogram
-	added     *metrics.Histogram
 }
 
 // NewMetrics returns an empty set of metrics.
@@ -69,7 +68,6 @@
 	s := &serviceMetrics{
 		discarded: m.set.GetOrCreateCounter(fmt.Sprintf(`fulmarhoist_answers_discarded_total{service=%q}`, service)),
 		attempt:   m.set.GetOrCreateHistogram(fmt.Sprintf(`fulmarhoist_attempt_seconds{service=%q}`, service)),
-		added:     m.set.GetOrCreateHistogram(fmt.Sprintf(`fulmarhoist_added_seconds{service=%q}`, service)),
 	}
 	for o := contract.OutcomePending; o <= contract.OutcomeCrashesTargets; o++ {
 		s.outcomes[o] = m.set.GetOrCreateCounter(fmt.Sprintf(`fulmarhoist_requests_total{service=%q,outcome=%q}`, service, o))
