Take no mutex of the queue while nobody waits

Change: length and the count of unclaimed wake-ups are atomics; a release without waiters is one addition and two loads.

--- a/service/queue.go
+++ b/service/queue.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/bits"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -86,18 +87,22 @@
 	ranks    [256]waiterList
 	occupied [4]uint64 // one bit per rank with waiters
 	bounded  boundedHeap
-	length   int
-	places   int // waiters that count against the limit, with woken ones
+	length   atomic.Int64 // changed under the mutex
+	places   int          // waiters that count against the limit, with woken ones
 	sequence uint64
 	// unclaimed counts the wake-ups that found nobody, and each WakeAll. A
 	// waiter that saw an older count chooses again instead of waiting.
-	unclaimed uint64
+	unclaimed atomic.Uint64
 	now       time.Time
 	rate      serviceRate
 }
 
 // NewQueue returns a queue that holds up to limit requests.
-func NewQueue(limit int) *Queue { return &Queue{limit: limit, unclaimed: 1} }
+func NewQueue(limit int) *Queue {
+	q := &Queue{limit: limit}
+	q.unclaimed.Store(1)
+	return q
+}
 
 // SetLimit changes the bound. Requests above a lower one keep their places.
 func (q *Queue) SetLimit(limit int) {
@@ -107,18 +112,10 @@
 }
 
 // Len returns the number of waiting requests.
-func (q *Queue) Len() int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.length
-}
+func (q *Queue) Len() int { return int(q.length.Load()) }
 
 // Seen returns a mark for Demand.Seen. It is taken before a choice.
-func (q *Queue) Seen() uint64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.unclaimed
-}
+func (q *Queue) Seen() uint64 { return q.unclaimed.Load() }
 
 // Join adds a request that cannot be displaced and whose deadline is not checked.
 // A full queue gives an *OverflowError. The caller chooses again after Join and
@@ -128,7 +125,7 @@
 func (q *Queue) Join(rank Rank, deadline time.Time) (*Waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.places >= q.limit || q.length >= q.limit {
+	if q.places >= q.limit || q.Len() >= q.limit {
 		return nil, &OverflowError{q.limit}
 	}
 	return q.add(Demand{Rank: rank, Deadline: deadline, Kept: true}, false), nil
@@ -148,10 +145,10 @@
 			return nil, &LateError{Wait: wait, Left: left}
 		}
 	}
-	if (q.places >= q.limit || q.length >= q.limit) && !q.displace(demand.Rank) {
+	if (q.places >= q.limit || q.Len() >= q.limit) && !q.displace(demand.Rank) {
 		return nil, &OverflowError{q.limit}
 	}
-	if q.length == 0 {
+	if q.length.Load() == 0 {
 		q.rate.begin(now)
 	}
 	w := q.add(demand, true)
@@ -159,7 +156,7 @@
 		w.overdueAt = now.Add(demand.MaxWait)
 		heap.Push(&q.bounded, w)
 	}
-	if demand.Seen != 0 && demand.Seen != q.unclaimed {
+	if demand.Seen != 0 && demand.Seen != q.unclaimed.Load() {
 		q.wake(w)
 	}
 	return w, nil
@@ -179,7 +176,7 @@
 		heap.Push(&q.bounded, w)
 	}
 	q.insert(w)
-	if w.seen != q.unclaimed {
+	if w.seen != q.unclaimed.Load() {
 		q.wake(w)
 	}
 }
@@ -215,11 +212,21 @@
 
 // Released lets the first request choose again and records the release for the
 // service rate. It is called when a permit was released.
+//
+// While nobody waits it takes no mutex. A request that joins meanwhile is not
+// missed: either it sees the new count after it has joined, or the second look at
+// the length sees it.
 func (q *Queue) Released(now time.Time) {
+	if q.length.Load() == 0 {
+		q.unclaimed.Add(1)
+		if q.length.Load() == 0 {
+			return
+		}
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.advance(now)
-	if q.length > 0 {
+	if q.length.Load() > 0 {
 		q.rate.record(now)
 	}
 	q.wakeFirst()
@@ -236,8 +243,8 @@
 func (q *Queue) WakeAll() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.unclaimed++
-	for q.length > 0 {
+	q.unclaimed.Add(1)
+	for q.length.Load() > 0 {
 		q.wakeFirst()
 	}
 }
@@ -251,7 +258,7 @@
 
 func (q *Queue) add(demand Demand, counted bool) *Waiter {
 	q.sequence++
-	w := &Waiter{demand: demand, sequence: q.sequence, index: -1, counted: counted, seen: q.unclaimed}
+	w := &Waiter{demand: demand, sequence: q.sequence, index: -1, counted: counted, seen: q.unclaimed.Load()}
 	w.ready = make(chan struct{})
 	if counted {
 		q.places++
@@ -270,7 +277,7 @@
 func (q *Queue) wakeFirst() {
 	first := q.first()
 	if first == nil {
-		q.unclaimed++
+		q.unclaimed.Add(1)
 		return
 	}
 	q.wake(first)
@@ -279,7 +286,7 @@
 func (q *Queue) wake(w *Waiter) {
 	q.remove(w)
 	w.woken = true
-	w.seen = q.unclaimed
+	w.seen = q.unclaimed.Load()
 	close(w.ready)
 }
 
--- a/service/waiting.go
+++ b/service/waiting.go
@@ -35,7 +35,7 @@
 		list.back = w
 	}
 	list.length++
-	q.length++
+	q.length.Add(1)
 	q.occupied[w.demand.Rank/64] |= 1 << (w.demand.Rank % 64)
 }
 
@@ -54,7 +54,7 @@
 	}
 	w.list, w.prev, w.next = nil, nil, nil
 	list.length--
-	q.length--
+	q.length.Add(-1)
 	if list.length == 0 {
 		q.occupied[w.demand.Rank/64] &^= 1 << (w.demand.Rank % 64)
 	}
