--- a/daemon/cluster.go
+++ b/daemon/cluster.go
@@ -34,8 +34,10 @@
 	inboxSize = 1024
 )
 
-// collaborators are the parts that the cluster works with.
-type collaborators struct {
+// clusterParts is what the cluster works with.
+type clusterParts struct {
+	dig.In
+
 	Settings *settings.Settings
 	Self     lease.Holder
 	Roster   *instance.Roster
@@ -69,7 +71,7 @@
 // the roster and of the peers' loads; the instance list and the peers reach it
 // over channels.
 type cluster struct {
-	collaborators
+	parts clusterParts
 
 	front    *httpapi.Front // set before run, to serve forwarded requests
 	drain    *drain         // set before run
@@ -88,33 +90,10 @@
 	sentTo   map[string]uint64 // configuration version last sent, by peer
 }
 
-// clusterParts lets dig fill in the collaborators.
-type clusterParts struct {
-	dig.In
-
-	Settings *settings.Settings
-	Self     lease.Holder
-	Roster   *instance.Roster
-	List     platform.InstanceList
-	Reader   *configlog.Reader
-	Ledger   *contract.Ledger
-	Catalog  *service.Catalog
-	Broker   *coldstart.Broker
-	Crashes  *contract.Fingerprints
-	Applier  *applier
-	Standing *standing
-	Mail     *mail
-	Logger   zerolog.Logger
-}
-
 func newCluster(p clusterParts) *cluster {
 	table := instance.NewTable(0, nil)
 	return &cluster{
-		collaborators: collaborators{
-			Settings: p.Settings, Self: p.Self, Roster: p.Roster, List: p.List, Reader: p.Reader, Ledger: p.Ledger,
-			Catalog: p.Catalog, Broker: p.Broker, Crashes: p.Crashes, Applier: p.Applier, Standing: p.Standing,
-			Mail: p.Mail, Logger: p.Logger,
-		},
+		parts:    p,
 		listings: make(chan platform.Listing),
 		inbox:    make(chan func(time.Time), inboxSize),
 		loads:    instance.NewLoads(table),
@@ -126,7 +105,7 @@
 
 // open makes the mesh. It comes before run and before the first request.
 func (c *cluster) open(ctx context.Context, listener net.Listener) error {
-	secret, err := c.Settings.Key()
+	secret, err := c.parts.Settings.Key()
 	if err != nil {
 		return err
 	}
@@ -136,18 +115,18 @@
 	}
 	c.mesh = peerwire.NewMesh(peerwire.Options{
 		Self: peerwire.Identity{
-			ID: c.Self.Instance, Incarnation: c.Self.Incarnation, Zone: c.Settings.Zone,
-			CallerAddress: c.Settings.Callers.Advertise, PeerAddress: c.Settings.Peers.Advertise,
+			ID: c.parts.Self.Instance, Incarnation: c.parts.Self.Incarnation, Zone: c.parts.Settings.Zone,
+			CallerAddress: c.parts.Settings.Callers.Advertise, PeerAddress: c.parts.Settings.Peers.Advertise,
 		},
 		Key: key, Listener: listener, Handler: &inbound{c}, Random: rand.Uint64,
 	})
-	c.Mail.open(ctx, c.mesh, c.Broker)
+	c.parts.Mail.open(ctx, c.mesh, c.parts.Broker)
 	return nil
 }
 
 // run keeps the roster until the context ends.
 func (c *cluster) run(ctx context.Context) {
-	defer c.Mail.group.Wait()
+	defer c.parts.Mail.group.Wait()
 	defer c.mesh.Close()
 	polled := make(chan struct{})
 	go func() { defer close(polled); c.pollList(ctx) }()
@@ -159,10 +138,10 @@
 		case <-ctx.Done():
 			return
 		case listing := <-c.listings:
-			c.Roster.Listed(time.Now(), listing)
+			c.parts.Roster.Listed(time.Now(), listing)
 			c.listed = leavingTargets(listing)
 			c.offerLeaving()
-		case name := <-c.Mail.leaving:
+		case name := <-c.parts.Mail.leaving:
 			c.told[name] = notice{at: time.Now(), here: true}
 			c.offerLeaving()
 		case event := <-c.inbox:
@@ -183,16 +162,16 @@
 }
 
 func (c *cluster) tick(now time.Time) {
-	own := instance.Own{Epoch: c.Ledger.Ticket(now).Epoch, Leaving: c.Standing.Leaving()}
-	if state := c.Reader.State(); state != nil {
+	own := instance.Own{Epoch: c.parts.Ledger.Ticket(now).Epoch, Leaving: c.parts.Standing.Leaving()}
+	if state := c.parts.Reader.State(); state != nil {
 		own.ConfigVersion = state.Version
 	}
-	c.Roster.Update(now, own)
-	c.Roster.Tick(now)
-	if read := c.Reader.LastRead(); !read.IsZero() {
-		c.Standing.isolation.LogRead(read)
+	c.parts.Roster.Update(now, own)
+	c.parts.Roster.Tick(now)
+	if read := c.parts.Reader.LastRead(); !read.IsZero() {
+		c.parts.Standing.isolation.LogRead(read)
 	}
-	c.mesh.SetPeers(alive(c.Roster.View()))
+	c.mesh.SetPeers(alive(c.parts.Roster.View()))
 	if now.Sub(c.beatAt) >= instance.HeartbeatInterval-tickInterval/2 {
 		c.beatAt = now
 		c.beat(now)
@@ -201,21 +180,21 @@
 
 // beat sends a heartbeat and hands the peers' loads to the targets.
 func (c *cluster) beat(now time.Time) {
-	snapshot := c.Catalog.Snapshot()
+	snapshot := c.parts.Catalog.Snapshot()
 	if snapshot.State.Version != c.table.Version {
 		c.table = instance.NewTable(snapshot.State.Version, snapshot.TargetNames())
 		c.loads.SetTable(c.table)
 	}
 	c.loads.Tick(now)
-	beat := c.Roster.NextBeat(now)
+	beat := c.parts.Roster.NextBeat(now)
 	beat.Loads = c.reporter.Next(now, c.table, c.ownLoads(now, snapshot))
-	if read := c.Reader.LastRead(); !read.IsZero() {
+	if read := c.parts.Reader.LastRead(); !read.IsZero() {
 		beat.LogAge = now.Sub(read)
 	}
-	spent := c.Mail.probes.Load()
+	spent := c.parts.Mail.probes.Load()
 	beat.ProbesSpent, c.probes = spent-c.probes, spent
-	if err := c.mesh.Beat(beat, c.Roster.Recipients(now, rand.Uint64())); err != nil {
-		c.Logger.Error().Str("event", "heartbeat_failed").Err(err).Msg("heartbeat could not be encoded")
+	if err := c.mesh.Beat(beat, c.parts.Roster.Recipients(now, rand.Uint64())); err != nil {
+		c.parts.Logger.Error().Str("event", "heartbeat_failed").Err(err).Msg("heartbeat could not be encoded")
 	}
 	changed := c.forgetNotices(now)
 	for name, sum := range c.loads.Sums().Targets {
@@ -266,7 +245,7 @@
 	for name := range c.told {
 		names[name] = true
 	}
-	c.Applier.offerLeaving(names)
+	c.parts.Applier.offerLeaving(names)
 }
 
 func alive(view *instance.Snapshot) []instance.Instance {
@@ -280,7 +259,7 @@
 }
 
 func (c *cluster) publishMembers() {
-	view := c.Roster.View()
+	view := c.parts.Roster.View()
 	members := &coldstart.Members{Ready: view.SelfListed && view.HeardAllListed}
 	for _, peer := range alive(view) {
 		holder := lease.Holder{Instance: peer.ID, Incarnation: peer.Incarnation}
@@ -289,12 +268,12 @@
 			members.Live = append(members.Live, holder)
 		}
 	}
-	c.Mail.members.Store(members)
+	c.parts.Mail.members.Store(members)
 }
 
 // leave returns true if no other instance is open to callers.
 func (c *cluster) leave() (alone bool) {
-	for _, peer := range c.Roster.View().Peers {
+	for _, peer := range c.parts.Roster.View().Peers {
 		if peer.Open() {
 			return false
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -140,7 +140,7 @@
 		return fmt.Errorf("join the other instances: %w", err)
 	}
 	registerPeerGauges(d.metrics, d.cluster.mesh)
-	d.metrics.Gauge("fulmarhoist_load_probes_total", func() float64 { return float64(d.cluster.Mail.probes.Load()) })
+	d.metrics.Gauge("fulmarhoist_load_probes_total", func() float64 { return float64(d.cluster.parts.Mail.probes.Load()) })
 	d.group.Go(func() { d.applier.run(ctx) })
 	d.group.Go(func() { d.reader.Run(ctx) })
 	d.group.Go(func() { d.cluster.run(ctx) })
--- a/daemon/forward.go
+++ b/daemon/forward.go
@@ -22,7 +22,7 @@
 	lost := contract.Answer{Refusal: &contract.Refusal{
 		Outcome: contract.OutcomeUnknown, Reason: contract.ReasonOwnerLost, Owner: owner,
 	}}
-	if peer, known := c.Roster.View().Peer(owner); !known || peer.Incarnation != terms.Key.Ticket.Incarnation {
+	if peer, known := c.parts.Roster.View().Peer(owner); !known || peer.Incarnation != terms.Key.Ticket.Incarnation {
 		return lost
 	}
 	body, err := io.ReadAll(io.LimitReader(request.Body, maxForwardBytes+1))
@@ -39,7 +39,7 @@
 	}
 	reply, err := c.mesh.Forward(ctx, owner, message)
 	if err != nil {
-		c.Logger.Warn().Str("event", "forward_failed").Str("owner", owner).Err(err).Msg("the owner of a key did not answer")
+		c.parts.Logger.Warn().Str("event", "forward_failed").Str("owner", owner).Err(err).Msg("the owner of a key did not answer")
 		return lost
 	}
 	return answerOf(reply)
--- a/daemon/inbound.go
+++ b/daemon/inbound.go
@@ -35,25 +35,25 @@
 // heard takes a heartbeat in. The roster tells a new incarnation, at whose
 // address the process before it has ended, from a late heartbeat of that process.
 func (h *inbound) heard(now time.Time, from peerwire.Identity, beat instance.Beat) {
-	before, known := h.Roster.View().Peer(from.ID)
-	h.Standing.isolation.PeerHeard(now)
-	h.Roster.Heard(now, beat)
+	before, known := h.parts.Roster.View().Peer(from.ID)
+	h.parts.Standing.isolation.PeerHeard(now)
+	h.parts.Roster.Heard(now, beat)
 	h.loads.Heard(now, beat)
-	if after, _ := h.Roster.View().Peer(from.ID); known && before.Incarnation != 0 && after.Incarnation != before.Incarnation {
-		h.Broker.Gone(lease.Holder{Instance: from.ID, Incarnation: before.Incarnation})
+	if after, _ := h.parts.Roster.View().Peer(from.ID); known && before.Incarnation != 0 && after.Incarnation != before.Incarnation {
+		h.parts.Broker.Gone(lease.Holder{Instance: from.ID, Incarnation: before.Incarnation})
 	}
 }
 
 // passConfig sends the configuration in force to a peer that is behind, once per
 // version and heartbeat.
 func (h *inbound) passConfig(id string, theirs uint64) {
-	snapshot := h.Reader.Snapshot()
-	if snapshot == nil || snapshot.State.Version <= theirs || h.Reader.State() == nil {
+	snapshot := h.parts.Reader.Snapshot()
+	if snapshot == nil || snapshot.State.Version <= theirs || h.parts.Reader.State() == nil {
 		return
 	}
 	data, err := configlog.Encode(config.Checkpoint{State: snapshot.State, AsOf: snapshot.AsOf, WrittenAt: snapshot.CheckpointAt})
 	if err != nil {
-		h.Logger.Error().Str("event", "config_not_passed").Err(err).Msg("configuration could not be encoded")
+		h.parts.Logger.Error().Str("event", "config_not_passed").Err(err).Msg("configuration could not be encoded")
 		return
 	}
 	// A message that is lost is sent again after the next heartbeat.
@@ -64,17 +64,17 @@
 func (h *inbound) ConfigState(from peerwire.Identity, m *peerwire.ConfigState) {
 	checkpoint, ok := configlog.Decode(m.State).(config.Checkpoint)
 	if !ok {
-		h.Logger.Warn().Str("event", "config_unreadable").Str("peer", from.ID).Msg("a peer sent a configuration that cannot be read")
+		h.parts.Logger.Warn().Str("event", "config_unreadable").Str("peer", from.ID).Msg("a peer sent a configuration that cannot be read")
 		return
 	}
-	h.Reader.Offer(config.Snapshot{State: checkpoint.State, AsOf: checkpoint.AsOf, CheckpointAt: checkpoint.WrittenAt})
+	h.parts.Reader.Offer(config.Snapshot{State: checkpoint.State, AsOf: checkpoint.AsOf, CheckpointAt: checkpoint.WrittenAt})
 }
 
 // Forward implements peerwire.Handler. After the last request of a planned stop
 // none begins: its answer would not reach the peer.
 func (h *inbound) Forward(ctx context.Context, _ peerwire.Identity, m *peerwire.Forward) *peerwire.ForwardReply {
 	if !h.drain.begin() {
-		return &peerwire.ForwardReply{Outcome: contract.OutcomeUnknown, Reason: contract.ReasonOwnerLost, Owner: h.Self.Instance}
+		return &peerwire.ForwardReply{Outcome: contract.OutcomeUnknown, Reason: contract.ReasonOwnerLost, Owner: h.parts.Self.Instance}
 	}
 	defer h.drain.end()
 	header := make(http.Header, len(m.Header))
@@ -103,34 +103,34 @@
 // ColdAsk implements peerwire.Handler.
 func (h *inbound) ColdAsk(from peerwire.Identity, m *peerwire.ColdAsk) *peerwire.ColdAnswer {
 	ask := coldstart.Ask{Target: m.Target, Round: m.Sequence, Generation: uint32(m.Generation)}
-	return &peerwire.ColdAnswer{Verdict: verdictOf(h.Broker.OnAsk(time.Now(), holderOf(from), ask)), Sequence: m.Sequence}
+	return &peerwire.ColdAnswer{Verdict: verdictOf(h.parts.Broker.OnAsk(time.Now(), holderOf(from), ask)), Sequence: m.Sequence}
 }
 
 // ColdRelease implements peerwire.Handler.
 func (h *inbound) ColdRelease(from peerwire.Identity, m *peerwire.ColdRelease) {
-	h.Broker.OnRelease(holderOf(from), coldstart.Release{Target: m.Target, Round: m.Sequence})
+	h.parts.Broker.OnRelease(holderOf(from), coldstart.Release{Target: m.Target, Round: m.Sequence})
 }
 
 // CrashReport implements peerwire.Handler.
 func (h *inbound) CrashReport(_ peerwire.Identity, m *peerwire.CrashReport) {
 	var fingerprint contract.Fingerprint
 	if copy(fingerprint[:], m.Fingerprint) == len(fingerprint) {
-		h.Crashes.Crashed(time.Now(), m.Target, fingerprint)
+		h.parts.Crashes.Crashed(time.Now(), m.Target, fingerprint)
 	}
 }
 
 // Connected implements peerwire.Handler.
 func (h *inbound) Connected(peer peerwire.Identity) {
-	h.Logger.Info().Str("event", "peer_connected").Str("peer", peer.ID).Msg("peer connected")
+	h.parts.Logger.Info().Str("event", "peer_connected").Str("peer", peer.ID).Msg("peer connected")
 	// A peer that has just started knows no crashes, and callers may send a
 	// crashing request through it.
-	for _, report := range h.Crashes.Reports(time.Now()) {
+	for _, report := range h.parts.Crashes.Reports(time.Now()) {
 		_ = h.mesh.Send(peer.ID, &peerwire.CrashReport{Fingerprint: report.Fingerprint[:], Target: report.Target})
 	}
 }
 
 // Broken implements peerwire.Handler.
 func (h *inbound) Broken(peer peerwire.Identity) {
-	h.Logger.Info().Str("event", "peer_broken").Str("peer", peer.ID).Msg("connection to a peer broke")
-	h.post(func(now time.Time) { h.Roster.ConnectionBroken(now, peer.ID, peer.Incarnation) })
+	h.parts.Logger.Info().Str("event", "peer_broken").Str("peer", peer.ID).Msg("connection to a peer broke")
+	h.post(func(now time.Time) { h.parts.Roster.ConnectionBroken(now, peer.ID, peer.Incarnation) })
 }
--- a/daemon/inbound_test.go
+++ b/daemon/inbound_test.go
@@ -22,7 +22,7 @@
 		broker := coldstart.NewBroker(self, nil, &knownTargets{catalog: service.NewCatalog("az-1", service.PolicyShortestExpectedDelay)},
 			func() *coldstart.Members { return &coldstart.Members{} })
 		h := &inbound{&cluster{
-			collaborators: collaborators{
+			parts: clusterParts{
 				Self: self, Broker: broker, Standing: &standing{isolation: instance.NewIsolation(now)},
 				Roster: instance.NewRoster(now, instance.Instance{ID: "entry-1", Incarnation: 9}),
 			},
--- a/daemon/list.go
+++ b/daemon/list.go
@@ -18,10 +18,10 @@
 		case <-timer.C:
 		}
 		read, cancel := context.WithTimeout(ctx, listTimeout)
-		listing, err := c.List.List(read)
+		listing, err := c.parts.List.List(read)
 		cancel()
 		if err != nil {
-			c.Logger.Warn().Str("event", "instance_list_failed").Err(err).Msg("instance list failed")
+			c.parts.Logger.Warn().Str("event", "instance_list_failed").Err(err).Msg("instance list failed")
 		} else {
 			select {
 			case c.listings <- listing:
--- a/exchange/rig_test.go
+++ b/exchange/rig_test.go
@@ -1,10 +1,12 @@
 package exchange_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -16,7 +18,6 @@
 	"fulmarhoist.example/exchange"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/target"
-	"fulmarhoist.example/telemetry"
 )
 
 // quiet is a lessor and an observer of links that does nothing.
@@ -30,32 +31,47 @@
 func (quiet) Changed(*target.Target)                         {}
 func (quiet) Probed(*target.Target)                          {}
 
-// rig is one target with the links to it.
+// observer counts the answers that were discarded.
+type observer struct{ discarded atomic.Int32 }
+
+func (*observer) Attempt(string, contract.Failure, time.Duration) {}
+func (o *observer) Discarded(string)                              { o.discarded.Add(1) }
+
+// rig is a service with the links to its targets.
 type rig struct {
-	catalog *service.Catalog
-	links   *exchange.Links
-	config  config.Configuration
-	version uint64
+	observer observer
+	catalog  *service.Catalog
+	links    *exchange.Links
+	config   config.Configuration
+	version  uint64
 }
 
-// newRig serves the handler as a target that bears one request for each slot
-// from its start, so that no lease is needed.
-func newRig(slots int, handler http.HandlerFunc) *rig {
+// newRig serves the handler as the only target.
+func newRig(slots int, handler http.HandlerFunc) *rig { return newRigAt(slots, serve(handler)) }
+
+// serve runs the handler at an address of its own.
+func serve(handler http.HandlerFunc) string {
 	server := httptest.NewServer(handler)
 	DeferCleanup(server.CloseClientConnections)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// newRigAt has targets at the given addresses, each of which bears one request
+// for each slot from its start, so that no lease is needed.
+func newRigAt(slots int, addresses ...string) *rig {
+	s := config.Service{
+		Name: "orders", QueueLimit: 10, RetryPercent: 10,
+		ColdStart: config.ColdStart{Bears: slots, DurationMs: 3_600_000, Answers: 1},
+	}
+	for i, address := range addresses {
+		s.Targets = append(s.Targets, config.Target{
+			Name: fmt.Sprintf("orders-%d", i+1), Address: address, Zone: "az-1", Slots: slots, Connections: slots,
+		})
+	}
 	r := &rig{
 		catalog: service.NewCatalog("az-1", service.PolicyShortestExpectedDelay),
 		links:   exchange.NewLinks(quiet{}, quiet{}, func(*target.Target) {}),
-		config: config.Configuration{
-			MaxInstances: 1, Zones: []config.Zone{{Name: "az-1"}},
-			Services: []config.Service{{
-				Name: "orders", QueueLimit: 10, RetryPercent: 10,
-				ColdStart: config.ColdStart{Bears: slots, DurationMs: 3_600_000, Answers: 1},
-				Targets: []config.Target{{
-					Name: "orders-1", Address: strings.TrimPrefix(server.URL, "http://"), Zone: "az-1", Slots: slots, Connections: slots,
-				}},
-			}},
-		},
+		config:  config.Configuration{MaxInstances: 1, Zones: []config.Zone{{Name: "az-1"}}, Services: []config.Service{s}},
 	}
 	DeferCleanup(r.links.Close)
 	r.apply(func(*config.Configuration) {})
@@ -81,7 +97,7 @@
 	terms.Service, terms.Class = "orders", "class"
 	return &exchange.Exchange{
 		Instance: "entry-1", Contract: contract.New(terms), Service: found, Links: r.links,
-		Crashes: contract.NewFingerprints(), Tracer: noop.NewTracerProvider().Tracer(""), Observer: telemetry.NewMetrics(),
+		Crashes: contract.NewFingerprints(), Tracer: noop.NewTracerProvider().Tracer(""), Observer: &r.observer,
 	}
 }
 
