service: warm cold targets up while the service is in use

A cold target asked for a lease only while requests had to wait for a target. A zone that was brought back got no work in 5 s at 50% load, because the others sufficed, and would have been cold when it was needed. Every request now counts as demand.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -78,7 +78,9 @@
 		cancel()
 		return nil, x.Contract.Refuse(bodyReason(err))
 	}
-	x.Service.Retries.Request(time.Now())
+	began := time.Now()
+	x.Service.Asked(began)
+	x.Service.Retries.Request(began)
 	for {
 		if !x.Crashes.Empty() && x.Crashes.Refused(time.Now(), fingerprintOf(x, request, content)) {
 			cancel()
@@ -162,7 +164,6 @@
 	defer span.End()
 	now := time.Now()
 	queue := x.Service.Queue
-	x.Service.Waited(now)
 	demand := x.Demand
 	demand.Deadline, demand.Seen = x.Contract.Terms.Deadline, seen
 	waiter, err := queue.JoinAt(now, demand)
--- a/link/set.go
+++ b/link/set.go
@@ -24,10 +24,10 @@
 	Warm(t *target.Target)
 }
 
-// Demand tells a Set whether requests wait for its target, and is told about
+// Demand tells a Set whether its target is of use now, and is told about
 // new capacity.
 type Demand interface {
-	// Wanted tells whether a request had to wait a short time ago.
+	// Wanted tells whether a request came a short time ago.
 	Wanted(now time.Time) bool
 	// Ready is called, from any goroutine, when waiting requests should choose
 	// again.
--- a/service/service.go
+++ b/service/service.go
@@ -64,21 +64,22 @@
 	Queue   *Queue
 	Retries *RetryBudget
 
-	view     atomic.Pointer[View]
-	policy   Policy
-	waitedAt atomic.Int64 // when a request last had to wait, Unix nanoseconds
+	view    atomic.Pointer[View]
+	policy  Policy
+	askedAt atomic.Int64 // when a request last came, Unix nanoseconds
 }
 
-// demandWindow is how long the service counts as short of capacity after a
-// request had to wait.
+// demandWindow is how long the service counts as in use after a request.
 const demandWindow = time.Second
 
-// Waited records that a request has to wait for a target.
-func (s *Service) Waited(now time.Time) { s.waitedAt.Store(now.UnixNano()) }
+// Asked records that a request has come. Cold targets warm up from then on, not
+// only when a request has to wait: a zone that returned stayed without work for
+// as long as the others sufficed, and was cold when it was needed.
+func (s *Service) Asked(now time.Time) { s.askedAt.Store(now.UnixNano()) }
 
 // Wanted implements link.Demand.
 func (s *Service) Wanted(now time.Time) bool {
-	return now.UnixNano()-s.waitedAt.Load() < int64(demandWindow) || s.Queue.Len() > 0
+	return now.UnixNano()-s.askedAt.Load() < int64(demandWindow) || s.Queue.Len() > 0
 }
 
 // Ready implements link.Demand.
