--- a/internal/ctl/load_test.go
+++ b/internal/ctl/load_test.go
@@ -56,8 +56,10 @@
 
 	// Guards against a run of the whole duration against nobody.
 	It("ends at once when no instance can be reached", func() {
-		code, _, _ := short(closedAddress(), "--duration", "1h", "--request", "service=orders,class=status")
+		code, out, problems := short(closedAddress(), "--duration", "5s", "--request", "service=orders,class=status")
 		Expect(code).To(Equal(ctl.ExitUnreachable))
+		Expect(out).To(BeEmpty(), "there was no run to report")
+		Expect(problems).NotTo(ContainSubstring("p99"), "there was no progress")
 	})
 
 	// Guards against a typing error in a mix that silently changes the load.
