--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -130,6 +130,42 @@
 	}, SpecTimeout(time.Minute))
 })
 
+var _ = Describe("A forwarded request", func() {
+	// Guards against a hop between instances that loses the trace or shows no span.
+	It("has one span per hop in one trace", func(ctx SpecContext) {
+		f := startFleet(ctx, fleet.Plan{
+			Zones: []string{"az-1"}, Instances: 2, Services: []fleet.ServicePlan{orders(2)}, Spans: true,
+		})
+		w := newWire()
+		warm(ctx, f, w)
+		const trace = "0af7651916cd43dd8448eb211c80319c"
+		got := w.send(ctx, wireRequest{
+			address: f.Instances[1].Callers, class: "reorder", path: "/orders/4",
+			key: ticket(ctx, f.Instances[1], f.Instances[0]) + "/traced", trace: "00-" + trace + "-b7ad6b7169203331-01",
+		})
+		Expect(got.outcome).To(Equal("answered"), got.body)
+		var spans []span
+		for _, i := range f.Instances {
+			Expect(i.Terminate()).To(Succeed())
+			Expect(i.Wait(ctx)).To(Succeed())
+			spans = append(spans, readSpans(i.Spans)...)
+		}
+		ids := map[string]string{"b7ad6b7169203331": "caller"}
+		parents := map[string]string{}
+		for _, s := range spans {
+			if s.SpanContext.TraceID == trace {
+				ids[s.SpanContext.SpanID] = s.Name
+				parents[s.Name] = s.Parent.SpanID
+			}
+		}
+		Expect(parents).To(HaveLen(4))
+		Expect(ids[parents["receive"]]).To(Equal("caller"))
+		Expect(ids[parents["forward"]]).To(Equal("receive"))
+		Expect(ids[parents["receive-forwarded"]]).To(Equal("forward"))
+		Expect(ids[parents["attempt"]]).To(Equal("receive-forwarded"))
+	}, SpecTimeout(time.Minute))
+})
+
 var _ = Describe("Several instances", func() {
 	// Guards against instances that cannot agree on who may send to a cold server
 	// that bears one request, and against a key that is run by two instances.
--- a/internal/e2e/wire_test.go
+++ b/internal/e2e/wire_test.go
@@ -35,6 +35,7 @@
 
 type wireRequest struct {
 	address, class, key, path string
+	trace                     string // traceparent
 	body                      []byte
 	deadline                  time.Duration
 }
@@ -51,6 +52,9 @@
 	if r.key != "" {
 		request.Header.Set("Fulmarhoist-Request-Key", r.key)
 	}
+	if r.trace != "" {
+		request.Header.Set("Traceparent", r.trace)
+	}
 	if r.deadline > 0 {
 		request.Header.Set("Fulmarhoist-Deadline", jsonNumber(r.deadline.Milliseconds()))
 	}
