Wait for a first copy in one place

Cause: read-through. Front.replay and Front.joined did the same. Result: go test -race ./httpapi passes.

--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -206,7 +206,8 @@
 		return
 	}
 	if !first {
-		f.replay(ctx, w, a, entry)
+		answer := f.joined(ctx, a, entry)
+		f.writeAnswer(w, a, &answer)
 		return
 	}
 	response, refusal, attempts := f.runKeyed(ctx, a, entry, request)
@@ -259,19 +260,6 @@
 	}
 }
 
-// replay waits for the outcome of the first copy and writes it.
-func (f *Front) replay(ctx context.Context, w http.ResponseWriter, a *accepted, entry *contract.Entry) {
-	ctx, cancel := context.WithDeadline(ctx, a.terms.Deadline)
-	defer cancel()
-	select {
-	case <-entry.Done():
-		w.Header().Set(headerReplayed, "1")
-		f.writeAnswer(w, a, entry.Answer())
-	case <-ctx.Done():
-		f.refuse(w, a, 0, &contract.Refusal{Outcome: contract.OutcomeUnknown, Reason: contract.ReasonDeadline, Owner: f.Instance})
-	}
-}
-
 func (f *Front) writeAnswer(w http.ResponseWriter, a *accepted, answer *contract.Answer) {
 	if answer.Replayed {
 		w.Header().Set(headerReplayed, "1")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,7 +50,7 @@
 	// Optional; sed if left out. The others are baselines for measurements.
 	Policy string `json:"policy,omitempty"`
 	// Seeds are peer addresses to try while the instance list does not answer.
-	// Optional.
+	// Optional. They are checked, but not used yet.
 	Seeds []string `json:"seeds,omitempty"`
 }
 
