Ask about warmth only for a process that a link reaches, and keep a drain

Cause: two windows found by review. The generation in a question was read after the check that a link of it exists, so a restart in between could let a proof count for a later process. A warm-up step that loaded the state before a drain notice set the target back to cold or warming. Change: the owner passes the generation of its newest link; a transition out of 'leaving' within a generation has no effect.

--- a/coldstart/broker.go
+++ b/coldstart/broker.go
@@ -127,7 +127,7 @@
 
 // ColdLease implements link.Lessor. The owner of the target's links calls it
 // every few milliseconds while the target is cold.
-func (b *Broker) ColdLease(now time.Time, t *target.Target) time.Time {
+func (b *Broker) ColdLease(now time.Time, t *target.Target, generation uint32) time.Time {
 	members := b.members()
 	b.mu.Lock()
 	w := b.want(t.Spec.Name)
@@ -143,7 +143,6 @@
 	until := w.asker.Until()
 	b.mu.Unlock()
 
-	_, generation := t.State()
 	for _, request := range asks {
 		b.sender.SendColdAsk(request.To, Ask{Target: request.Target, Round: request.Round, Generation: generation})
 	}
@@ -155,7 +154,7 @@
 }
 
 // Relinquish implements link.Lessor.
-func (b *Broker) Relinquish(now time.Time, t *target.Target) {
+func (b *Broker) Relinquish(now time.Time, t *target.Target, generation uint32) {
 	members := b.members()
 	b.mu.Lock()
 	w := b.want(t.Spec.Name)
@@ -174,7 +173,6 @@
 	b.mu.Unlock()
 	b.sendRelease(released, members)
 	if ask {
-		_, generation := t.State()
 		b.sender.SendColdAsk(peer, Ask{Target: t.Spec.Name, Generation: generation})
 	}
 }
--- a/coldstart/broker_test.go
+++ b/coldstart/broker_test.go
@@ -51,10 +51,10 @@
 		members := &coldstart.Members{Ready: true, Peers: []lease.Holder{peer}}
 		broker = coldstart.NewBroker(lease.Holder{Instance: "entry-1", Incarnation: 1}, p, noTargets{t},
 			func() *coldstart.Members { return members })
-		broker.ColdLease(now, t)
+		broker.ColdLease(now, t, 1)
 		round := p.asks[len(p.asks)-1].Round
 		broker.OnAnswer(now, peer, coldstart.Answer{Target: "orders-1", Round: round, Reply: lease.ReplyGranted})
-		until := broker.ColdLease(now, t)
+		until := broker.ColdLease(now, t, 1)
 		Expect(until).To(BeTemporally(">", now))
 		t.Lease(until)
 		Expect(t.Transition(1, target.StateCold, 1)).To(BeTrue())
@@ -64,16 +64,16 @@
 	// the moment at which this instance stops to admit: the next holder sends as
 	// much as the cold target bears.
 	It("admits nothing any more when it gives the lease up", func() {
-		broker.Relinquish(now, t)
+		broker.Relinquish(now, t, 1)
 		Expect(p.releases).To(Equal(1))
 	})
 
 	It("admits nothing any more when a peer refuses to renew the lease", func() {
 		now = now.Add(lease.RenewInterval)
-		broker.ColdLease(now, t)
+		broker.ColdLease(now, t, 1)
 		round := p.asks[len(p.asks)-1].Round
 		broker.OnAnswer(now, peer, coldstart.Answer{Target: "orders-1", Round: round, Reply: lease.ReplyRefused})
-		Expect(broker.ColdLease(now, t).IsZero()).To(BeTrue())
+		Expect(broker.ColdLease(now, t, 1).IsZero()).To(BeTrue())
 		Expect(p.releases).To(Equal(1))
 	})
 
@@ -81,10 +81,10 @@
 	It("keeps the consent of its peers until its last request has ended", func() {
 		permit, admitted := t.Admit(now)
 		Expect(admitted).To(BeTrue())
-		broker.Relinquish(now, t)
+		broker.Relinquish(now, t, 1)
 		Expect(p.releases).To(BeZero())
 		permit.Release()
-		broker.Relinquish(now, t)
+		broker.Relinquish(now, t, 1)
 		Expect(p.releases).To(Equal(1))
 	})
 })
--- a/exchange/rig_test.go
+++ b/exchange/rig_test.go
@@ -23,13 +23,13 @@
 // quiet is a lessor and an observer of links that does nothing.
 type quiet struct{}
 
-func (quiet) ColdLease(time.Time, *target.Target) time.Time  { return time.Time{} }
-func (quiet) Relinquish(time.Time, *target.Target)           {}
-func (quiet) ProvedWarm(*target.Target) bool                 { return false }
-func (quiet) Warm(*target.Target)                            {}
-func (quiet) Crashed(*target.Target, []contract.Fingerprint) {}
-func (quiet) Changed(*target.Target)                         {}
-func (quiet) Probed(*target.Target)                          {}
+func (quiet) ColdLease(time.Time, *target.Target, uint32) time.Time { return time.Time{} }
+func (quiet) Relinquish(time.Time, *target.Target, uint32)          {}
+func (quiet) ProvedWarm(*target.Target) bool                        { return false }
+func (quiet) Warm(*target.Target)                                   {}
+func (quiet) Crashed(*target.Target, []contract.Fingerprint)        {}
+func (quiet) Changed(*target.Target)                                {}
+func (quiet) Probed(*target.Target)                                 {}
 
 // observer counts the answers that were discarded.
 type observer struct{ discarded atomic.Int32 }
--- a/httpapi/front_test.go
+++ b/httpapi/front_test.go
@@ -26,15 +26,15 @@
 // quiet fills the parts that the specs do not look at.
 type quiet struct{}
 
-func (quiet) ColdLease(time.Time, *target.Target) time.Time  { return time.Time{} }
-func (quiet) Relinquish(time.Time, *target.Target)           {}
-func (quiet) ProvedWarm(*target.Target) bool                 { return false }
-func (quiet) Warm(*target.Target)                            {}
-func (quiet) Crashed(*target.Target, []contract.Fingerprint) {}
-func (quiet) Changed(*target.Target)                         {}
-func (quiet) Probed(*target.Target)                          {}
-func (quiet) Isolated() bool                                 { return false }
-func (quiet) Leaving() bool                                  { return false }
+func (quiet) ColdLease(time.Time, *target.Target, uint32) time.Time { return time.Time{} }
+func (quiet) Relinquish(time.Time, *target.Target, uint32)          {}
+func (quiet) ProvedWarm(*target.Target) bool                        { return false }
+func (quiet) Warm(*target.Target)                                   {}
+func (quiet) Crashed(*target.Target, []contract.Fingerprint)        {}
+func (quiet) Changed(*target.Target)                                {}
+func (quiet) Probed(*target.Target)                                 {}
+func (quiet) Isolated() bool                                        { return false }
+func (quiet) Leaving() bool                                         { return false }
 
 // newFront returns a front end with one target that runs the handler.
 func newFront(handler http.HandlerFunc) *httpapi.Front {
--- a/internal/bench/hop_test.go
+++ b/internal/bench/hop_test.go
@@ -38,10 +38,12 @@
 // nobody else to be agreed with, and there is no peer to tell anything.
 type alone struct{}
 
-func (alone) ColdLease(now time.Time, _ *target.Target) time.Time { return now.Add(time.Hour) }
-func (alone) Relinquish(time.Time, *target.Target)                {}
-func (alone) ProvedWarm(*target.Target) bool                      { return false }
-func (alone) Warm(*target.Target)                                 {}
+func (alone) ColdLease(now time.Time, _ *target.Target, _ uint32) time.Time {
+	return now.Add(time.Hour)
+}
+func (alone) Relinquish(time.Time, *target.Target, uint32) {}
+func (alone) ProvedWarm(*target.Target) bool               { return false }
+func (alone) Warm(*target.Target)                          {}
 
 func (alone) Crashed(*target.Target, []contract.Fingerprint) {}
 func (alone) Changed(*target.Target)                         {}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -117,15 +117,17 @@
 // always is a lessor that grants and a demand that never ends.
 type always struct{ ready atomic.Int32 }
 
-func (*always) ColdLease(now time.Time, _ *target.Target) time.Time { return now.Add(time.Second) }
-func (*always) Relinquish(time.Time, *target.Target)                {}
-func (*always) ProvedWarm(*target.Target) bool                      { return false }
-func (*always) Warm(*target.Target)                                 {}
-func (*always) Wanted(time.Time) bool                               { return true }
-func (*always) Crashed(*target.Target, []contract.Fingerprint)      {}
-func (*always) Changed(*target.Target)                              {}
-func (*always) Probed(*target.Target)                               {}
-func (a *always) Ready()                                            { a.ready.Add(1) }
+func (*always) ColdLease(now time.Time, _ *target.Target, _ uint32) time.Time {
+	return now.Add(time.Second)
+}
+func (*always) Relinquish(time.Time, *target.Target, uint32)   {}
+func (*always) ProvedWarm(*target.Target) bool                 { return false }
+func (*always) Warm(*target.Target)                            {}
+func (*always) Wanted(time.Time) bool                          { return true }
+func (*always) Crashed(*target.Target, []contract.Fingerprint) {}
+func (*always) Changed(*target.Target)                         {}
+func (*always) Probed(*target.Target)                          {}
+func (a *always) Ready()                                       { a.ready.Add(1) }
 
 func runSet(t *target.Target) *link.Set {
 	terms := link.Terms{
--- a/link/owner.go
+++ b/link/owner.go
@@ -172,10 +172,10 @@
 		o.answers, o.usedAt = answers, now
 	}
 	if !o.needed(now) {
-		o.Lessor.Relinquish(now, o.target)
+		o.Lessor.Relinquish(now, o.target, o.warmup.Generation())
 		return time.Time{}
 	}
-	return o.Lessor.ColdLease(now, o.target)
+	return o.Lessor.ColdLease(now, o.target, o.warmup.Generation())
 }
 
 // needed tells whether requests come for the target or still run there.
--- a/link/set.go
+++ b/link/set.go
@@ -11,12 +11,16 @@
 
 // Lessor grants this instance the right to send to cold targets.
 type Lessor interface {
+	// ColdLease and Relinquish get the generation that a link was opened for: a
+	// proof of warmth that was asked for before the first link could refer to a
+	// process that has ended since.
+	//
 	// ColdLease returns the time until which this instance may send up to what
 	// the cold target bears, and the zero time if it may not.
-	ColdLease(now time.Time, t *target.Target) time.Time
+	ColdLease(now time.Time, t *target.Target, generation uint32) time.Time
 	// Relinquish ends the lease on a cold target that this instance does not
 	// need, so that one that has requests for it can have the lease.
-	Relinquish(now time.Time, t *target.Target)
+	Relinquish(now time.Time, t *target.Target, generation uint32)
 	// ProvedWarm tells whether a peer has shown that the process of the
 	// target's current generation is warm.
 	ProvedWarm(t *target.Target) bool
--- a/target/target.go
+++ b/target/target.go
@@ -182,13 +182,16 @@
 }
 
 // Transition sets state and limit if the target is still in the given
-// generation, and tells whether it did.
+// generation, and tells whether it did. A process that is leaving stays leaving.
 func (t *Target) Transition(generation uint32, state State, limit int) bool {
 	for {
 		w := word(t.word.Load())
 		if w.generation() != generation {
 			return false
 		}
+		if w.state() == StateLeaving && state != StateLeaving {
+			return false
+		}
 		next := pack(generation, state, limit, w.inFlight())
 		if t.word.CompareAndSwap(uint64(w), uint64(next)) {
 			return true
--- a/target/target_test.go
+++ b/target/target_test.go
@@ -86,6 +86,16 @@
 		Expect(t.InFlight()).To(BeZero())
 	})
 
+	// Guards against a warm-up step that overtakes the news of a drain.
+	It("stays leaving until its process ends", func() {
+		Expect(t.Transition(1, target.StateLeaving, 0)).To(BeTrue())
+		Expect(t.Transition(1, target.StateWarm, 4)).To(BeFalse())
+		_, ok := t.Admit(now)
+		Expect(ok).To(BeFalse())
+		t.Restarted(1)
+		Expect(t.Transition(2, target.StateWarm, 4)).To(BeTrue())
+	})
+
 	// Guards against two reports of one restart making the new process cold twice.
 	It("counts one restart once", func() {
 		Expect(t.Restarted(1)).To(BeTrue())
--- a/target/warmup.go
+++ b/target/warmup.go
@@ -54,6 +54,9 @@
 	return generation == w.generation && !w.connectedAt.IsZero()
 }
 
+// Generation returns the generation of the newest link.
+func (w *Warmup) Generation() uint32 { return w.generation }
+
 // Step applies the rules to the current state. Leased tells that this instance
 // holds the lease on the cold target; until then only its share is used.
 func (w *Warmup) Step(now time.Time, leased bool) {
