Prove what a newcomer and a caller learn of earlier outcomes

Change: the crash spec sends the request through an instance that starts later; the spec of the frozen owner checks the mark; a spec of the caller's library.

--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -210,6 +210,20 @@
 		Expect(ok).To(BeTrue(), "%v", err)
 	})
 
+	// Guards against a refusal body that is taken for the target's answer, and
+	// against work that is sent again although it ran.
+	It("reports an answer that is no longer held", func() {
+		c.add(func(w http.ResponseWriter, _ *http.Request, _ int) {
+			w.Header().Set("Fulmarhoist-Outcome", "answer-not-kept")
+			w.WriteHeader(http.StatusGone)
+			_, _ = w.Write([]byte(`{"outcome":"answer-not-kept"}`))
+		})
+		_, err := c.client(nil).Do(ctx, once())
+		_, ok := errors.AsType[*caller.AnswerNotKeptError](err)
+		Expect(ok).To(BeTrue(), "%v", err)
+		Expect(c.seen()).To(HaveLen(1))
+	})
+
 	// Guards against a caller that hangs on a frozen instance.
 	It("moves on from an instance that does not answer, with the same key", func() {
 		release := make(chan struct{})
--- a/internal/e2e/answers_test.go
+++ b/internal/e2e/answers_test.go
@@ -92,7 +92,7 @@
 	// server after the other.
 	It("takes down two at most, over all instances, and is refused then", func(ctx SpecContext) {
 		f := startFleet(ctx, fleet.Plan{
-			Zones: []string{"az-1"}, Instances: 3, Services: []fleet.ServicePlan{orders(6)},
+			Zones: []string{"az-1"}, Instances: 3, MaxInstances: 4, Services: []fleet.ServicePlan{orders(6)},
 		})
 		w := newWire()
 		warm(ctx, f, w)
@@ -102,14 +102,23 @@
 			got := w.send(ctx, wireRequest{address: f.Instances[number%3].Callers, class: "status", path: "/poison"})
 			outcomes = append(outcomes, got.outcome)
 		}
-		crashed := 0
-		for _, e := range entries(ctx, f) {
-			if e.Outcome == targetserver.OutcomeCrashed && strings.Contains(e.Path, "poison") {
-				crashed++
+		crashed := func() int {
+			count := 0
+			for _, e := range entries(ctx, f) {
+				if e.Outcome == targetserver.OutcomeCrashed && strings.Contains(e.Path, "poison") {
+					count++
+				}
 			}
+			return count
 		}
-		Expect(crashed).To(BeNumerically("<=", 2), fmt.Sprint(outcomes))
+		Expect(crashed()).To(BeNumerically("<=", 2), fmt.Sprint(outcomes))
 		Expect(outcomes[len(outcomes)-1]).To(Equal("crashes-targets"), fmt.Sprint(outcomes))
 		Expect(w.send(ctx, wireRequest{address: f.Instances[0].Callers, class: "status", path: "/status/1"}).outcome).To(Equal("answered"))
+
+		newcomer, err := f.AddInstance(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		warm(ctx, f, w)
+		Expect(w.send(ctx, wireRequest{address: newcomer.Callers, class: "status", path: "/poison"}).outcome).To(Equal("crashes-targets"))
+		Expect(crashed()).To(BeNumerically("<=", 2))
 	}, SpecTimeout(time.Minute))
 })
--- a/internal/e2e/atmostonce_test.go
+++ b/internal/e2e/atmostonce_test.go
@@ -88,6 +88,7 @@
 			return again.outcome
 		}).WithTimeout(15 * time.Second).Should(Equal("answered"))
 		Expect(again.body).To(Equal(whole.body))
+		Expect(again.replayed).To(BeTrue(), "the outcome was recorded at the owner, behind another instance")
 		Expect(ran(ctx, f, key)).To(Equal(1))
 	}, SpecTimeout(time.Minute))
 
