Never send a request again to a target that it took down

Log of entry-1: orders-2 in generation 1, orders-2 again in generation 2, then orders-3. Few targets were warm, so the choice fell back to targets that the request had failed on; orders-2 had restarted, went down again, and counted once. Ruled out: a second request in flight (the spec sends one at a time), and reports between instances (all crashes were on entry-1). Change: targets whose crash counts against the request's fingerprint are excluded, also in the fallback and for crashes that peers reported.

--- a/contract/fingerprints.go
+++ b/contract/fingerprints.go
@@ -97,6 +97,17 @@
 	return (*f.snapshot.Load())[fingerprint].count(now) >= CrashLimit
 }
 
+// Targets returns the targets whose crashes count against a fingerprint.
+func (f *Fingerprints) Targets(now time.Time, fingerprint Fingerprint) []string {
+	var names []string
+	for _, s := range (*f.snapshot.Load())[fingerprint] {
+		if !s.cleared && live(now, s.at) {
+			names = append(names, s.target)
+		}
+	}
+	return names
+}
+
 // Crashed records that a target went down while requests with the given
 // fingerprints were running there.
 func (f *Fingerprints) Crashed(now time.Time, target string, running ...Fingerprint) {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -68,7 +69,8 @@
 	Isolated func() bool
 
 	tried  service.Tried
-	silent time.Time // when an attempt began that met a silent connection
+	barred service.Tried // targets that went down while they ran this request
+	silent time.Time     // when an attempt began that met a silent connection
 }
 
 // Run sends the request until it is answered or the contract refuses another
@@ -84,9 +86,13 @@
 	x.Service.Asked(began)
 	x.Service.Retries.Request(began)
 	for {
-		if !x.Crashes.Empty() && x.Crashes.Refused(time.Now(), fingerprintOf(x, request, content)) {
-			cancel()
-			return nil, x.crashes()
+		if !x.Crashes.Empty() {
+			now, fingerprint := time.Now(), fingerprintOf(x, request, content)
+			if x.Crashes.Refused(now, fingerprint) {
+				cancel()
+				return nil, x.crashes()
+			}
+			x.bar(x.Crashes.Targets(now, fingerprint))
 		}
 		permit, refusal := x.admit(ctx)
 		if refusal != nil {
@@ -169,10 +175,21 @@
 	if permit, ok := x.Service.Choose(now, x.tried, rand.Uint64()); ok {
 		return permit, true
 	}
-	if len(x.tried) == 0 {
+	if len(x.tried) == len(x.barred) {
 		return target.Permit{}, false
 	}
-	return x.Service.Choose(now, nil, rand.Uint64())
+	return x.Service.Choose(now, x.barred, rand.Uint64())
+}
+
+// bar excludes the targets with the given names. One that has restarted would go
+// down again, and would count as one target only.
+func (x *Exchange) bar(names []string) {
+	for _, c := range x.Service.View().Candidates {
+		if slices.Contains(names, c.Target.Spec.Name) && !x.barred.Has(c.Target) {
+			x.barred = append(x.barred, c.Target)
+			x.avoid(c.Target)
+		}
+	}
 }
 
 func (x *Exchange) wait(ctx context.Context, seen uint64) (target.Permit, *contract.Refusal) {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -106,3 +106,18 @@
 		}
 	}, SpecTimeout(time.Minute))
 })
+
+var _ = Describe("A request that took a target down", func() {
+	// Guards against a request that takes the same target down again when it has
+	// restarted and no other target has room: that counts as one target only.
+	It("is not sent there again", func(ctx SpecContext) {
+		var runs atomic.Int32
+		r := newRig(2, func(w http.ResponseWriter, _ *http.Request) { runs.Add(1); _, _ = io.WriteString(w, "ok") })
+		x := r.exchange(repeatable(300 * time.Millisecond))
+		x.Crashes.Crashed(time.Now(), "orders-1", contract.NewFingerprint("orders", "class", http.MethodGet, "/status", nil))
+		_, refusal := x.Run(ctx, get("/status"))
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Outcome).To(Equal(contract.OutcomeNotRun))
+		Expect(runs.Load()).To(BeZero())
+	}, SpecTimeout(time.Minute))
+})
