--- a/platform/platform.go
+++ b/backing/backing.go
@@ -1,8 +1,8 @@
-// Package platform holds the interfaces of the two services that the platform
-// offers, the append-only log and the instance list, and their typed errors.
+// Package backing holds the interfaces of the two services that the product needs
+// behind it, the append-only log and the instance list, and their typed errors.
 //
 // Implementations are safe for concurrent use.
-package platform
+package backing
 
 import (
 	"context"
--- a/platformhttp/client.go
+++ b/backinghttp/client.go
@@ -1,4 +1,4 @@
-package platformhttp
+package backinghttp
 
 import (
 	"context"
--- a/platformhttp/errors.go
+++ b/backinghttp/errors.go
@@ -1,6 +1,6 @@
-// Package platformhttp holds HTTP clients of the platform's log service and
+// Package backinghttp holds HTTP clients of the log service and
 // instance list. docs/protocol.md, section 3, gives the wire format.
-package platformhttp
+package backinghttp
 
 import "fmt"
 
--- a/platformhttp/list.go
+++ b/backinghttp/list.go
@@ -1,4 +1,4 @@
-package platformhttp
+package backinghttp
 
 import (
 	"context"
@@ -6,19 +6,19 @@
 	"net/http"
 	"net/url"
 
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 const listName = "instance list"
 
-// ListClient implements platform.InstanceList over HTTP.
+// ListClient implements backing.InstanceList over HTTP.
 type ListClient struct {
 	base      *url.URL
 	settings  Settings
 	transport *http.Transport
 }
 
-var _ platform.InstanceList = (*ListClient)(nil)
+var _ backing.InstanceList = (*ListClient)(nil)
 
 // NewListClient gives a client of the instance list at a base URL.
 func NewListClient(base string, settings Settings) (*ListClient, error) {
@@ -36,9 +36,9 @@
 // Close closes idle connections.
 func (c *ListClient) Close() { c.transport.CloseIdleConnections() }
 
-// List implements platform.InstanceList. Members of a kind that the product
+// List implements backing.InstanceList. Members of a kind that the product
 // does not know are left out.
-func (c *ListClient) List(ctx context.Context) (platform.Listing, error) {
+func (c *ListClient) List(ctx context.Context) (backing.Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
 	defer cancel()
 	status, body, err := c.settings.get(ctx, c.transport, c.base.JoinPath("instances").String())
@@ -46,16 +46,16 @@
 		err = &StatusError{Status: status}
 	}
 	if err != nil || status != http.StatusOK {
-		return platform.Listing{}, &platform.UnavailableError{Service: listName, Op: "list", Err: err}
+		return backing.Listing{}, &backing.UnavailableError{Service: listName, Op: "list", Err: err}
 	}
 	listing, err := decodeListing(body)
 	if err != nil {
-		return platform.Listing{}, &platform.UnavailableError{Service: listName, Op: "list", Err: err}
+		return backing.Listing{}, &backing.UnavailableError{Service: listName, Op: "list", Err: err}
 	}
 	return listing, nil
 }
 
-func decodeListing(body []byte) (platform.Listing, error) {
+func decodeListing(body []byte) (backing.Listing, error) {
 	var wire struct {
 		Version *uint64 `json:"version"`
 		Members []struct {
@@ -67,22 +67,22 @@
 		} `json:"members"`
 	}
 	if err := decode(body, &wire); err != nil {
-		return platform.Listing{}, err
+		return backing.Listing{}, err
 	}
 	// An absent list must not be taken for an empty one.
 	if wire.Version == nil || wire.Members == nil {
-		return platform.Listing{}, &MalformedError{Problem: "version or members are missing"}
+		return backing.Listing{}, &MalformedError{Problem: "version or members are missing"}
 	}
-	listing := platform.Listing{Version: *wire.Version, Members: make([]platform.Member, 0, len(wire.Members))}
+	listing := backing.Listing{Version: *wire.Version, Members: make([]backing.Member, 0, len(wire.Members))}
 	for i, m := range wire.Members {
-		kind := platform.Kind(m.Kind)
-		if kind != platform.KindEntry && kind != platform.KindTarget {
+		kind := backing.Kind(m.Kind)
+		if kind != backing.KindEntry && kind != backing.KindTarget {
 			continue
 		}
 		if m.ID == "" || m.Address == "" {
-			return platform.Listing{}, &MalformedError{Problem: fmt.Sprintf("member %d has no id or no address", i)}
+			return backing.Listing{}, &MalformedError{Problem: fmt.Sprintf("member %d has no id or no address", i)}
 		}
-		listing.Members = append(listing.Members, platform.Member{
+		listing.Members = append(listing.Members, backing.Member{
 			ID: m.ID, Kind: kind, Zone: m.Zone, Address: m.Address, Leaving: m.Leaving,
 		})
 	}
--- a/platformhttp/list_test.go
+++ b/backinghttp/list_test.go
@@ -1,4 +1,4 @@
-package platformhttp_test
+package backinghttp_test
 
 import (
 	"net/http"
@@ -9,13 +9,13 @@
 
 	"fulmarhoist.example/internal/standin/control"
 	"fulmarhoist.example/internal/standin/instancelist"
-	"fulmarhoist.example/platform"
-	"fulmarhoist.example/platformhttp"
+	"fulmarhoist.example/backing"
+	"fulmarhoist.example/backinghttp"
 )
 
 var _ = Describe("ListClient", func() {
-	client := func(address string) *platformhttp.ListClient {
-		c, err := platformhttp.NewListClient("http://"+address, platformhttp.Settings{})
+	client := func(address string) *backinghttp.ListClient {
+		c, err := backinghttp.NewListClient("http://"+address, backinghttp.Settings{})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(c.Close)
 		return c
@@ -30,7 +30,7 @@
 		list := client(service.Address())
 		listing, err := list.List(ctx)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(listing).To(Equal(platform.Listing{Members: []platform.Member{}}))
+		Expect(listing).To(Equal(backing.Listing{Members: []backing.Member{}}))
 
 		c := control.NewList(service.ControlAddress())
 		_, err = c.Put(ctx, instancelist.Member{ID: "t-1", Kind: "target", Zone: "az-1", Address: "127.0.0.1:1"})
@@ -40,8 +40,8 @@
 		listing, err = list.List(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(listing.Version).To(Equal(uint64(2)))
-		Expect(listing.Members).To(Equal([]platform.Member{
-			{ID: "t-1", Kind: platform.KindTarget, Zone: "az-1", Address: "127.0.0.1:1", Leaving: true},
+		Expect(listing.Members).To(Equal([]backing.Member{
+			{ID: "t-1", Kind: backing.KindTarget, Zone: "az-1", Address: "127.0.0.1:1", Leaving: true},
 		}))
 
 		for _, outage := range []instancelist.Outage{instancelist.OutageUnavailable, instancelist.OutageRefuse} {
--- a/platformhttp/log.go
+++ b/backinghttp/log.go
@@ -1,4 +1,4 @@
-package platformhttp
+package backinghttp
 
 import (
 	"bytes"
@@ -12,12 +12,12 @@
 	"sync/atomic"
 	"time"
 
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 const logName = "log service"
 
-// LogClient implements platform.Log over HTTP.
+// LogClient implements backing.Log over HTTP.
 type LogClient struct {
 	base     *url.URL
 	settings Settings
@@ -28,7 +28,7 @@
 	appends *http.Transport
 }
 
-var _ platform.Log = (*LogClient)(nil)
+var _ backing.Log = (*LogClient)(nil)
 
 // NewLogClient gives a client of the log service at a base URL.
 func NewLogClient(base string, settings Settings) (*LogClient, error) {
@@ -51,7 +51,7 @@
 // Close closes idle connections.
 func (c *LogClient) Close() { c.reads.CloseIdleConnections() }
 
-func (c *LogClient) address(stream platform.Stream) *url.URL {
+func (c *LogClient) address(stream backing.Stream) *url.URL {
 	return c.base.JoinPath("streams", url.PathEscape(string(stream)))
 }
 
@@ -59,8 +59,8 @@
 // GetBody and could then send the body again on another connection.
 type onceBody struct{ io.Reader }
 
-// Append implements platform.Log. The request is written at most once.
-func (c *LogClient) Append(ctx context.Context, stream platform.Stream, data []byte) (uint64, error) {
+// Append implements backing.Log. The request is written at most once.
+func (c *LogClient) Append(ctx context.Context, stream backing.Stream, data []byte) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.settings.Timeout)
 	defer cancel()
 	// Without a connection, nothing can have been written.
@@ -82,7 +82,7 @@
 		if !connected.Load() {
 			return 0, unavailable("append", err)
 		}
-		return 0, &platform.UncertainAppendError{Stream: stream, Err: err}
+		return 0, &backing.UncertainAppendError{Stream: stream, Err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
 	return c.appended(stream, response)
@@ -90,38 +90,38 @@
 
 // appended reads the response to an append. Only 429 and 503 say that nothing
 // was stored; after any other failure the record may be in the stream.
-func (c *LogClient) appended(stream platform.Stream, response *http.Response) (uint64, error) {
+func (c *LogClient) appended(stream backing.Stream, response *http.Response) (uint64, error) {
 	switch response.StatusCode {
 	case http.StatusCreated:
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return 0, unavailable("append", nil)
 	default:
-		return 0, &platform.UncertainAppendError{Stream: stream, Err: &StatusError{Status: response.StatusCode}}
+		return 0, &backing.UncertainAppendError{Stream: stream, Err: &StatusError{Status: response.StatusCode}}
 	}
 	body, err := c.settings.readBody(response.Body)
 	if err != nil {
-		return 0, &platform.UncertainAppendError{Stream: stream, Err: err}
+		return 0, &backing.UncertainAppendError{Stream: stream, Err: err}
 	}
 	var stored struct {
 		Offset *uint64 `json:"offset"`
 	}
 	if err := decode(body, &stored); err != nil {
-		return 0, &platform.UncertainAppendError{Stream: stream, Err: err}
+		return 0, &backing.UncertainAppendError{Stream: stream, Err: err}
 	}
 	if stored.Offset == nil {
-		return 0, &platform.UncertainAppendError{Stream: stream, Err: &MalformedError{Problem: "no offset"}}
+		return 0, &backing.UncertainAppendError{Stream: stream, Err: &MalformedError{Problem: "no offset"}}
 	}
 	return *stored.Offset, nil
 }
 
-// Read implements platform.Log.
-func (c *LogClient) Read(ctx context.Context, stream platform.Stream, from uint64, limit int) (platform.Page, error) {
+// Read implements backing.Log.
+func (c *LogClient) Read(ctx context.Context, stream backing.Stream, from uint64, limit int) (backing.Page, error) {
 	return c.read(ctx, stream, from, url.Values{"limit": {strconv.Itoa(limit)}}, c.settings.Timeout)
 }
 
 // Poll is a Read that waits up to the given time for records if there are none
 // yet. It gives an empty page when the time is over.
-func (c *LogClient) Poll(ctx context.Context, stream platform.Stream, from uint64, limit int, wait time.Duration) (platform.Page, error) {
+func (c *LogClient) Poll(ctx context.Context, stream backing.Stream, from uint64, limit int, wait time.Duration) (backing.Page, error) {
 	wait = max(wait, 0)
 	values := url.Values{
 		"limit":   {strconv.Itoa(limit)},
@@ -130,7 +130,7 @@
 	return c.read(ctx, stream, from, values, c.settings.Timeout+wait)
 }
 
-func (c *LogClient) read(ctx context.Context, stream platform.Stream, from uint64, values url.Values, timeout time.Duration) (platform.Page, error) {
+func (c *LogClient) read(ctx context.Context, stream backing.Stream, from uint64, values url.Values, timeout time.Duration) (backing.Page, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	values.Set("from", strconv.FormatUint(from, 10))
@@ -138,29 +138,29 @@
 	address.RawQuery = values.Encode()
 	status, body, err := c.settings.get(ctx, c.reads, address.String())
 	if err != nil {
-		return platform.Page{}, unavailable("read", err)
+		return backing.Page{}, unavailable("read", err)
 	}
 	switch status {
 	case http.StatusOK:
 		page, err := decodePage(body, from)
 		if err != nil {
-			return platform.Page{}, unavailable("read", err)
+			return backing.Page{}, unavailable("read", err)
 		}
 		return page, nil
 	case http.StatusGone:
-		return platform.Page{}, trimmed(stream, from, body)
+		return backing.Page{}, trimmed(stream, from, body)
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return platform.Page{}, unavailable("read", nil)
+		return backing.Page{}, unavailable("read", nil)
 	}
-	return platform.Page{}, unavailable("read", &StatusError{Status: status})
+	return backing.Page{}, unavailable("read", &StatusError{Status: status})
 }
 
 func unavailable(op string, err error) error {
-	return &platform.UnavailableError{Service: logName, Op: op, Err: err}
+	return &backing.UnavailableError{Service: logName, Op: op, Err: err}
 }
 
 // trimmed reads the body of a 410 response.
-func trimmed(stream platform.Stream, from uint64, body []byte) error {
+func trimmed(stream backing.Stream, from uint64, body []byte) error {
 	var gone struct {
 		First *uint64 `json:"first"`
 	}
@@ -170,12 +170,12 @@
 	if gone.First == nil || *gone.First <= from {
 		return unavailable("read", &MalformedError{Problem: "status 410 without a later first offset"})
 	}
-	return &platform.TrimmedError{Stream: stream, From: from, First: *gone.First}
+	return &backing.TrimmedError{Stream: stream, From: from, First: *gone.First}
 }
 
 // decodePage decodes a page and checks that its offsets are in order and in the
 // range that was asked for, so that a reader never applies records out of order.
-func decodePage(body []byte, from uint64) (platform.Page, error) {
+func decodePage(body []byte, from uint64) (backing.Page, error) {
 	var wire struct {
 		First   *uint64 `json:"first"`
 		Next    *uint64 `json:"next"`
@@ -185,19 +185,19 @@
 		} `json:"records"`
 	}
 	if err := decode(body, &wire); err != nil {
-		return platform.Page{}, err
+		return backing.Page{}, err
 	}
 	if wire.First == nil || wire.Next == nil || *wire.First > *wire.Next {
-		return platform.Page{}, &MalformedError{Problem: "first and next are missing or out of order"}
+		return backing.Page{}, &MalformedError{Problem: "first and next are missing or out of order"}
 	}
-	page := platform.Page{First: *wire.First, Next: *wire.Next, Records: make([]platform.Record, len(wire.Records))}
+	page := backing.Page{First: *wire.First, Next: *wire.Next, Records: make([]backing.Record, len(wire.Records))}
 	least := max(from, page.First)
 	for i, record := range wire.Records {
 		if record.Offset == nil || *record.Offset < least || *record.Offset >= page.Next {
-			return platform.Page{}, &MalformedError{Problem: fmt.Sprintf("record %d has an offset out of order", i)}
+			return backing.Page{}, &MalformedError{Problem: fmt.Sprintf("record %d has an offset out of order", i)}
 		}
 		least = *record.Offset + 1
-		page.Records[i] = platform.Record{Offset: *record.Offset, Data: record.Data}
+		page.Records[i] = backing.Record{Offset: *record.Offset, Data: record.Data}
 	}
 	return page, nil
 }
--- a/platformhttp/log_test.go
+++ b/backinghttp/log_test.go
@@ -1,4 +1,4 @@
-package platformhttp_test
+package backinghttp_test
 
 import (
 	"bytes"
@@ -18,14 +18,14 @@
 	"fulmarhoist.example/internal/standin/control"
 	"fulmarhoist.example/internal/standin/logservice"
 	"fulmarhoist.example/internal/standin/relay"
-	"fulmarhoist.example/platform"
-	"fulmarhoist.example/platformhttp"
+	"fulmarhoist.example/backing"
+	"fulmarhoist.example/backinghttp"
 )
 
 const loopback = "127.0.0.1:0"
 
 // short bounds an operation in specs that wait for a timeout.
-var short = platformhttp.Settings{Timeout: 200 * time.Millisecond}
+var short = backinghttp.Settings{Timeout: 200 * time.Millisecond}
 
 func startLog(settings logservice.Settings) *logservice.Service {
 	settings.Listen, settings.Control = loopback, loopback
@@ -35,8 +35,8 @@
 	return service
 }
 
-func logClient(address string, settings platformhttp.Settings) *platformhttp.LogClient {
-	client, err := platformhttp.NewLogClient("http://"+address, settings)
+func logClient(address string, settings backinghttp.Settings) *backinghttp.LogClient {
+	client, err := backinghttp.NewLogClient("http://"+address, settings)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(client.Close)
 	return client
@@ -44,37 +44,37 @@
 
 func expectUnavailable(err error) {
 	GinkgoHelper()
-	var unavailable *platform.UnavailableError
+	var unavailable *backing.UnavailableError
 	Expect(errors.As(err, &unavailable)).To(BeTrue(), "error is %v", err)
 }
 
 // unavailability gives the details of an error that must be unavailable.
-func unavailability(err error) *platform.UnavailableError {
+func unavailability(err error) *backing.UnavailableError {
 	GinkgoHelper()
 	expectUnavailable(err)
-	var unavailable *platform.UnavailableError
+	var unavailable *backing.UnavailableError
 	_ = errors.As(err, &unavailable)
 	return unavailable
 }
 
 func expectUncertain(err error) {
 	GinkgoHelper()
-	var uncertain *platform.UncertainAppendError
+	var uncertain *backing.UncertainAppendError
 	Expect(errors.As(err, &uncertain)).To(BeTrue(), "error is %v", err)
-	Expect(uncertain.Stream).To(Equal(platform.ConfigStream))
+	Expect(uncertain.Stream).To(Equal(backing.ConfigStream))
 }
 
 var _ = Describe("LogClient", func() {
 	var ctx context.Context
 	var service *logservice.Service
-	var client *platformhttp.LogClient
+	var client *backinghttp.LogClient
 
 	BeforeEach(func() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithCancel(context.Background())
 		DeferCleanup(cancel)
 		service = startLog(logservice.Settings{RetainRecords: 100})
-		client = logClient(service.Address(), platformhttp.Settings{})
+		client = logClient(service.Address(), backinghttp.Settings{})
 	})
 
 	set := func(faults logservice.Faults) {
@@ -83,12 +83,12 @@
 		Expect(err).NotTo(HaveOccurred())
 	}
 	appendOne := func(text string) error {
-		_, err := client.Append(ctx, platform.ConfigStream, []byte(text))
+		_, err := client.Append(ctx, backing.ConfigStream, []byte(text))
 		return err
 	}
 	stored := func() []string {
 		GinkgoHelper()
-		page, err := client.Read(ctx, platform.ConfigStream, 0, 100)
+		page, err := client.Read(ctx, backing.ConfigStream, 0, 100)
 		Expect(err).NotTo(HaveOccurred())
 		texts := make([]string, len(page.Records))
 		for i, r := range page.Records {
@@ -101,19 +101,19 @@
 	It("reads back what it appended, in order", func() {
 		records := [][]byte{[]byte("a"), {}, {0, 255, 10}, bytes.Repeat([]byte("x"), 100_000)}
 		for i, data := range records {
-			offset, err := client.Append(ctx, platform.ConfigStream, data)
+			offset, err := client.Append(ctx, backing.ConfigStream, data)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(offset).To(Equal(uint64(i)))
 		}
-		page, err := client.Read(ctx, platform.ConfigStream, 1, 2)
+		page, err := client.Read(ctx, backing.ConfigStream, 1, 2)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(page.First).To(BeZero())
 		Expect(page.Next).To(Equal(uint64(4)))
 		Expect(page.Records).To(HaveLen(2))
 		Expect(page.Records[0].Data).To(BeEmpty())
-		Expect(page.Records[1]).To(Equal(platform.Record{Offset: 2, Data: records[2]}))
+		Expect(page.Records[1]).To(Equal(backing.Record{Offset: 2, Data: records[2]}))
 
-		page, err = client.Read(ctx, platform.OutcomeStream, 0, 10)
+		page, err = client.Read(ctx, backing.OutcomeStream, 0, 10)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(page.Records).To(BeEmpty())
 	})
@@ -124,7 +124,7 @@
 		for _, outage := range []logservice.Outage{logservice.OutageUnavailable, logservice.OutageRefuse} {
 			set(logservice.Faults{Outage: outage})
 			expectUnavailable(appendOne("refused"))
-			_, err := client.Read(ctx, platform.ConfigStream, 0, 10)
+			_, err := client.Read(ctx, backing.ConfigStream, 0, 10)
 			expectUnavailable(err)
 		}
 		set(logservice.Faults{})
@@ -134,7 +134,7 @@
 	// Guards against a rate limit that looks like a lost answer.
 	It("reports an append over the rate limit as unavailable, without effect", func() {
 		service = startLog(logservice.Settings{AppendsPerSecond: 0.001})
-		client = logClient(service.Address(), platformhttp.Settings{})
+		client = logClient(service.Address(), backinghttp.Settings{})
 		Expect(appendOne("first")).To(Succeed())
 		Expect(unavailability(appendOne("second")).Err).To(Succeed())
 		Expect(stored()).To(Equal([]string{"first"}))
@@ -185,7 +185,7 @@
 		set(logservice.Faults{DelayMS: 60_000})
 		result := make(chan error, 1)
 		go func() {
-			_, err := client.Append(canceled, platform.ConfigStream, []byte("x"))
+			_, err := client.Append(canceled, backing.ConfigStream, []byte("x"))
 			result <- err
 		}()
 		Eventually(func() int64 { return service.State().Counters.AppendsReceived }).Should(Equal(int64(1)))
@@ -195,7 +195,7 @@
 		expectUncertain(err)
 		Expect(err).To(MatchError(context.Canceled))
 
-		_, err = client.Append(canceled, platform.ConfigStream, []byte("x"))
+		_, err = client.Append(canceled, backing.ConfigStream, []byte("x"))
 		expectUnavailable(err)
 		Expect(err).To(MatchError(context.Canceled))
 		Expect(service.State().Counters.AppendsReceived).To(Equal(int64(1)))
@@ -210,7 +210,7 @@
 		client = logClient(r.Address(), short)
 		Expect(stored()).To(BeEmpty())
 		Expect(r.Set(relay.Setting{Mode: relay.ModeSilence})).To(Succeed())
-		_, err = client.Read(ctx, platform.ConfigStream, 0, 10)
+		_, err = client.Read(ctx, backing.ConfigStream, 0, 10)
 		expectUnavailable(err)
 		Expect(appendOne("on a new connection")).To(Succeed())
 		Expect(stored()).To(Equal([]string{"on a new connection"}))
@@ -225,27 +225,27 @@
 	// Guards against a reader that skips records without noticing.
 	It("reports a read below the retained records", func() {
 		service = startLog(logservice.Settings{RetainRecords: 2})
-		client = logClient(service.Address(), platformhttp.Settings{})
+		client = logClient(service.Address(), backinghttp.Settings{})
 		for i := range 5 {
 			Expect(appendOne(fmt.Sprint(i))).To(Succeed())
 		}
-		_, err := client.Read(ctx, platform.ConfigStream, 1, 10)
-		var trimmed *platform.TrimmedError
+		_, err := client.Read(ctx, backing.ConfigStream, 1, 10)
+		var trimmed *backing.TrimmedError
 		Expect(errors.As(err, &trimmed)).To(BeTrue())
-		Expect(*trimmed).To(Equal(platform.TrimmedError{Stream: platform.ConfigStream, From: 1, First: 3}))
+		Expect(*trimmed).To(Equal(backing.TrimmedError{Stream: backing.ConfigStream, From: 1, First: 3}))
 	})
 
 	// Guards against a long poll that misses a record or never returns.
 	It("polls until a record arrives or the time is over", func() {
-		page, err := client.Poll(ctx, platform.ConfigStream, 0, 10, time.Millisecond)
+		page, err := client.Poll(ctx, backing.ConfigStream, 0, 10, time.Millisecond)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(page.Records).To(BeEmpty())
 
 		reads := service.State().Counters.Reads
-		pages := make(chan platform.Page, 1)
+		pages := make(chan backing.Page, 1)
 		go func() {
 			defer GinkgoRecover()
-			page, err := client.Poll(ctx, platform.ConfigStream, 0, 10, time.Minute)
+			page, err := client.Poll(ctx, backing.ConfigStream, 0, 10, time.Minute)
 			Expect(err).NotTo(HaveOccurred())
 			pages <- page
 		}()
@@ -259,7 +259,7 @@
 	It("ends a poll with an error when the service goes down", func() {
 		result := make(chan error, 1)
 		go func() {
-			_, err := client.Poll(ctx, platform.ConfigStream, 0, 10, time.Minute)
+			_, err := client.Poll(ctx, backing.ConfigStream, 0, 10, time.Minute)
 			result <- err
 		}()
 		Eventually(func() int64 { return service.State().Counters.Reads }).Should(Equal(int64(1)))
@@ -278,7 +278,7 @@
 				t.Fatal(err)
 			}
 			defer log.Close()
-			c, err := platformhttp.NewLogClient("http://"+log.Address(), platformhttp.Settings{})
+			c, err := backinghttp.NewLogClient("http://"+log.Address(), backinghttp.Settings{})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -288,7 +288,7 @@
 	})
 })
 
-func checkTruth(t *rapid.T, log *logservice.Service, c *platformhttp.LogClient) {
+func checkTruth(t *rapid.T, log *logservice.Service, c *backinghttp.LogClient) {
 	outages := rapid.SampledFrom([]logservice.Outage{
 		logservice.OutageNone, logservice.OutageNone, logservice.OutageUnavailable, logservice.OutageReset, logservice.OutageRefuse,
 	})
@@ -305,12 +305,12 @@
 			t.Fatal(err)
 		}
 		name := fmt.Sprint(i)
-		offsets[name], results[name] = c.Append(ctx, platform.ConfigStream, []byte(name))
+		offsets[name], results[name] = c.Append(ctx, backing.ConfigStream, []byte(name))
 	}
 	if err := log.Set(logservice.Faults{}); err != nil {
 		t.Fatal(err)
 	}
-	page, err := c.Read(ctx, platform.ConfigStream, 0, 100)
+	page, err := c.Read(ctx, backing.ConfigStream, 0, 100)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -323,8 +323,8 @@
 		}
 	}
 	for name, result := range results {
-		var unavailable *platform.UnavailableError
-		var uncertain *platform.UncertainAppendError
+		var unavailable *backing.UnavailableError
+		var uncertain *backing.UncertainAppendError
 		switch n := times[name]; {
 		case result == nil && n != 1,
 			errors.As(result, &unavailable) && n != 0,
@@ -337,10 +337,10 @@
 }
 
 var _ = Describe("LogClient with a faulty service", func() {
-	serve := func(handler http.HandlerFunc) *platformhttp.LogClient {
+	serve := func(handler http.HandlerFunc) *backinghttp.LogClient {
 		server := httptest.NewServer(handler)
 		DeferCleanup(server.Close)
-		client := logClient(server.Listener.Addr().String(), platformhttp.Settings{Timeout: 300 * time.Millisecond, MaxResponse: 4096})
+		client := logClient(server.Listener.Addr().String(), backinghttp.Settings{Timeout: 300 * time.Millisecond, MaxResponse: 4096})
 		return client
 	}
 
@@ -352,7 +352,7 @@
 			w.Header().Set("Location", "/elsewhere")
 			w.WriteHeader(http.StatusTemporaryRedirect)
 		})
-		_, err := client.Append(ctx, platform.ConfigStream, []byte("x"))
+		_, err := client.Append(ctx, backing.ConfigStream, []byte("x"))
 		expectUncertain(err)
 		Expect(requests.Load()).To(Equal(int32(1)))
 	})
@@ -371,7 +371,7 @@
 			_, _ = w.Write([]byte(`{"offset":1}`))
 		})
 		for range 3 {
-			_, err := client.Append(ctx, platform.ConfigStream, []byte("x"))
+			_, err := client.Append(ctx, backing.ConfigStream, []byte("x"))
 			Expect(err).NotTo(HaveOccurred())
 		}
 		Expect(requests.Load()).To(Equal(int32(3)))
@@ -384,7 +384,7 @@
 				w.WriteHeader(status)
 				_, _ = w.Write([]byte(body))
 			})
-			_, err := client.Append(ctx, platform.ConfigStream, []byte("x"))
+			_, err := client.Append(ctx, backing.ConfigStream, []byte("x"))
 			expectUncertain(err)
 		},
 		Entry("internal error", 500, ""),
@@ -403,7 +403,7 @@
 				w.WriteHeader(status)
 				_, _ = w.Write([]byte(body))
 			})
-			_, err := client.Read(ctx, platform.ConfigStream, 5, 10)
+			_, err := client.Read(ctx, backing.ConfigStream, 5, 10)
 			Expect(unavailability(err).Err).To(HaveOccurred())
 		},
 		Entry("no JSON", 200, "<html>"),
@@ -426,7 +426,7 @@
 			_ = http.NewResponseController(w).Flush()
 			<-r.Context().Done()
 		})
-		_, err := client.Read(ctx, platform.ConfigStream, 0, 10)
+		_, err := client.Read(ctx, backing.ConfigStream, 0, 10)
 		expectUnavailable(err)
 		Expect(err).To(MatchError(context.DeadlineExceeded))
 	}, NodeTimeout(10*time.Second))
@@ -434,10 +434,10 @@
 	// Guards against a base URL that sends requests to an unexpected place.
 	It("refuses a base URL or limits that make no sense", func() {
 		for _, base := range []string{"", "127.0.0.1:80", "https://127.0.0.1:80", "http://", "http://127.0.0.1:80?x=1"} {
-			_, err := platformhttp.NewLogClient(base, platformhttp.Settings{})
+			_, err := backinghttp.NewLogClient(base, backinghttp.Settings{})
 			Expect(err).To(HaveOccurred(), base)
 		}
-		_, err := platformhttp.NewLogClient("http://127.0.0.1:80", platformhttp.Settings{Timeout: -1})
+		_, err := backinghttp.NewLogClient("http://127.0.0.1:80", backinghttp.Settings{Timeout: -1})
 		Expect(err).To(HaveOccurred())
 	})
 })
--- a/platformhttp/suite_test.go
+++ b/backinghttp/suite_test.go
@@ -1,4 +1,4 @@
-package platformhttp_test
+package backinghttp_test
 
 import (
 	"testing"
--- a/configlog/configlog_test.go
+++ b/configlog/configlog_test.go
@@ -18,7 +18,7 @@
 
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/configlog"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 var decode = configlog.Decode
@@ -210,7 +210,7 @@
 	It("reports that nothing was stored when the log refuses", virtual(func(b *bench) {
 		b.log.with(func() { b.log.down = true })
 		_, err := b.publish("a", 0, 5*second)
-		var unavailable *platform.UnavailableError
+		var unavailable *backing.UnavailableError
 		b.Expect(errors.As(err, &unavailable)).To(BeTrue())
 	}))
 
--- a/configlog/follower.go
+++ b/configlog/follower.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"fulmarhoist.example/config"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 // pageLimit bounds the records of one read and thereby its memory.
@@ -28,10 +28,10 @@
 }
 
 // read reads and decodes records from an offset on.
-func read(ctx context.Context, log platform.Log, from uint64, timeout time.Duration) readResult {
+func read(ctx context.Context, log backing.Log, from uint64, timeout time.Duration) readResult {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	page, err := log.Read(ctx, platform.ConfigStream, from, pageLimit)
+	page, err := log.Read(ctx, backing.ConfigStream, from, pageLimit)
 	if err != nil {
 		return readResult{err: fmt.Errorf("reading the configuration stream from offset %d: %w", from, err)}
 	}
@@ -48,7 +48,7 @@
 // feed gives the result of a read to the order. It returns whether more records
 // are known to exist.
 func feed(order *config.Order, now time.Time, res readResult) (verdicts []config.Verdict, more bool, err error) {
-	var trimmed *platform.TrimmedError
+	var trimmed *backing.TrimmedError
 	if errors.As(res.err, &trimmed) && trimmed.First > order.ReadFrom() {
 		order.Trimmed(trimmed.First)
 		return nil, true, nil
--- a/configlog/publisher.go
+++ b/configlog/publisher.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"fulmarhoist.example/config"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 // Outcome is what a publisher learned of its publication.
@@ -45,13 +45,13 @@
 
 // Publisher proposes configurations. It is safe for concurrent use.
 type Publisher struct {
-	log     platform.Log
+	log     backing.Log
 	options Options
 }
 
 // NewPublisher returns a publisher. Of the options it uses ReadTimeout,
 // PollInterval, BackoffLimit and Random.
-func NewPublisher(log platform.Log, options Options) *Publisher {
+func NewPublisher(log backing.Log, options Options) *Publisher {
 	return &Publisher{log: log, options: options.withDefaults()}
 }
 
@@ -125,8 +125,8 @@
 func (p *Publisher) append(ctx context.Context, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, p.options.ReadTimeout)
 	defer cancel()
-	_, err := p.log.Append(ctx, platform.ConfigStream, data)
-	var unavailable *platform.UnavailableError
+	_, err := p.log.Append(ctx, backing.ConfigStream, data)
+	var unavailable *backing.UnavailableError
 	if errors.As(err, &unavailable) {
 		return err
 	}
--- a/configlog/reader.go
+++ b/configlog/reader.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"fulmarhoist.example/config"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 // Options of a Reader. Zero values are replaced by defaults.
@@ -72,7 +72,7 @@
 // Reader keeps the configuration in force: it follows the log and takes states
 // of peers. All methods but Run are safe for concurrent use.
 type Reader struct {
-	log     platform.Log
+	log     backing.Log
 	options Options
 	offers  chan config.Snapshot
 
@@ -90,7 +90,7 @@
 }
 
 // NewReader returns a reader that knows no state yet.
-func NewReader(log platform.Log, options Options) *Reader {
+func NewReader(log backing.Log, options Options) *Reader {
 	return &Reader{
 		log: log, options: options.withDefaults(), order: config.NewOrder(),
 		offers: make(chan config.Snapshot, 16),
@@ -233,7 +233,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.options.ReadTimeout)
 	defer cancel()
-	if _, err = r.log.Append(ctx, platform.ConfigStream, data); err != nil {
+	if _, err = r.log.Append(ctx, backing.ConfigStream, data); err != nil {
 		return fmt.Errorf("writing a checkpoint: %w", err)
 	}
 	return nil
--- a/configlog/suite_test.go
+++ b/configlog/suite_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"fulmarhoist.example/config"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 var suiteT *testing.T
@@ -46,12 +46,12 @@
 		return ctx.Err()
 	}
 	if down {
-		return &platform.UnavailableError{Service: "log service", Op: "test"}
+		return &backing.UnavailableError{Service: "log service", Op: "test"}
 	}
 	return ctx.Err()
 }
 
-func (l *memoryLog) Append(ctx context.Context, stream platform.Stream, data []byte) (uint64, error) {
+func (l *memoryLog) Append(ctx context.Context, stream backing.Stream, data []byte) (uint64, error) {
 	if err := l.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -59,28 +59,28 @@
 	defer l.mu.Unlock()
 	if l.dropNext {
 		l.dropNext = false
-		return 0, &platform.UncertainAppendError{Stream: stream, Err: errors.ErrUnsupported}
+		return 0, &backing.UncertainAppendError{Stream: stream, Err: errors.ErrUnsupported}
 	}
 	l.records, l.times = append(l.records, data), append(l.times, time.Now())
 	if l.loseNext {
 		l.loseNext = false
-		return 0, &platform.UncertainAppendError{Stream: stream, Err: errors.ErrUnsupported}
+		return 0, &backing.UncertainAppendError{Stream: stream, Err: errors.ErrUnsupported}
 	}
 	return uint64(len(l.records) - 1), nil
 }
 
-func (l *memoryLog) Read(ctx context.Context, stream platform.Stream, from uint64, limit int) (platform.Page, error) {
+func (l *memoryLog) Read(ctx context.Context, stream backing.Stream, from uint64, limit int) (backing.Page, error) {
 	if err := l.enter(ctx); err != nil {
-		return platform.Page{}, err
+		return backing.Page{}, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if from < l.first {
-		return platform.Page{}, &platform.TrimmedError{Stream: stream, From: from, First: l.first}
+		return backing.Page{}, &backing.TrimmedError{Stream: stream, From: from, First: l.first}
 	}
-	page := platform.Page{First: l.first, Next: uint64(len(l.records))}
+	page := backing.Page{First: l.first, Next: uint64(len(l.records))}
 	for o := from; o < page.Next && len(page.Records) < limit; o++ {
-		page.Records = append(page.Records, platform.Record{Offset: o, Data: l.records[o]})
+		page.Records = append(page.Records, backing.Record{Offset: o, Data: l.records[o]})
 	}
 	return page, nil
 }
--- a/daemon/cluster.go
+++ b/daemon/cluster.go
@@ -16,7 +16,7 @@
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/lease"
 	"fulmarhoist.example/peerwire"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/settings"
 	"fulmarhoist.example/target"
@@ -41,7 +41,7 @@
 	Settings *settings.Settings
 	Self     lease.Holder
 	Roster   *instance.Roster
-	List     platform.InstanceList
+	List     backing.InstanceList
 	Reader   *configlog.Reader
 	Ledger   *contract.Ledger
 	Catalog  *service.Catalog
@@ -76,7 +76,7 @@
 	front    *httpapi.Front // set before run, to serve forwarded requests
 	drain    *drain         // set before run
 	mesh     *peerwire.Mesh
-	listings chan platform.Listing
+	listings chan backing.Listing
 	inbox    chan func(now time.Time)
 
 	// The fields below belong to the goroutine of run.
@@ -94,7 +94,7 @@
 	table := instance.NewTable(0, nil)
 	return &cluster{
 		parts:    p,
-		listings: make(chan platform.Listing),
+		listings: make(chan backing.Listing),
 		inbox:    make(chan func(time.Time), inboxSize),
 		loads:    instance.NewLoads(table),
 		table:    table,
--- a/daemon/list.go
+++ b/daemon/list.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 // pollList reads the instance list again and again.
@@ -33,10 +33,10 @@
 	}
 }
 
-func leavingTargets(listing platform.Listing) map[string]bool {
+func leavingTargets(listing backing.Listing) map[string]bool {
 	names := make(map[string]bool)
 	for _, member := range listing.Members {
-		if member.Kind == platform.KindTarget && member.Leaving {
+		if member.Kind == backing.KindTarget && member.Leaving {
 			names[member.ID] = true
 		}
 	}
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -16,8 +16,8 @@
 	"fulmarhoist.example/httpapi"
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/lease"
-	"fulmarhoist.example/platform"
-	"fulmarhoist.example/platformhttp"
+	"fulmarhoist.example/backing"
+	"fulmarhoist.example/backinghttp"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/settings"
 	"fulmarhoist.example/target"
@@ -34,11 +34,11 @@
 		func() (*telemetry.Tracing, error) {
 			return telemetry.NewTracing(context.Background(), s.Instance, s.Traces.URL, s.Traces.File)
 		},
-		func() (platform.Log, error) {
-			return platformhttp.NewLogClient(s.LogServiceURL, platformhttp.Settings{})
+		func() (backing.Log, error) {
+			return backinghttp.NewLogClient(s.LogServiceURL, backinghttp.Settings{})
 		},
-		func() (platform.InstanceList, error) {
-			return platformhttp.NewListClient(s.InstanceListURL, platformhttp.Settings{})
+		func() (backing.InstanceList, error) {
+			return backinghttp.NewListClient(s.InstanceListURL, backinghttp.Settings{})
 		},
 		func() (lease.Holder, error) {
 			number, err := newIncarnation()
@@ -63,7 +63,7 @@
 	}
 }
 
-func newReader(log platform.Log, s *settings.Settings, logger zerolog.Logger, applier *applier) *configlog.Reader {
+func newReader(log backing.Log, s *settings.Settings, logger zerolog.Logger, applier *applier) *configlog.Reader {
 	return configlog.NewReader(log, configlog.Options{
 		Retention: time.Duration(s.LogRetentionMs) * time.Millisecond,
 		OnState:   applier.offerState,
--- a/instance/roster.go
+++ b/instance/roster.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"fulmarhoist.example/contract"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 const (
@@ -304,14 +304,14 @@
 
 // Listed takes an answer of the instance list in. An answer that is older than
 // the last one has no effect.
-func (r *Roster) Listed(now time.Time, listing platform.Listing) {
+func (r *Roster) Listed(now time.Time, listing backing.Listing) {
 	if r.haveList && listing.Version < r.listing {
 		return
 	}
 	r.listing, r.haveList, r.selfListed = listing.Version, true, false
 	named := make(map[string]bool, len(listing.Members))
 	for _, member := range listing.Members {
-		if member.Kind != platform.KindEntry {
+		if member.Kind != backing.KindEntry {
 			continue
 		}
 		named[member.ID] = true
@@ -333,7 +333,7 @@
 
 // selfListedAs ignores a leaving mark that is left over from an earlier process
 // with this ID: it counts only if the list showed this one as staying before.
-func (r *Roster) selfListedAs(member platform.Member) {
+func (r *Roster) selfListedAs(member backing.Member) {
 	r.selfListed = true
 	if !member.Leaving {
 		r.selfStayed = true
@@ -342,7 +342,7 @@
 	}
 }
 
-func (r *Roster) listedPeer(now time.Time, member platform.Member) {
+func (r *Roster) listedPeer(now time.Time, member backing.Member) {
 	rec := r.find(now, member.ID)
 	if rec == nil {
 		return
--- a/instance/roster_test.go
+++ b/instance/roster_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 
 	"fulmarhoist.example/instance"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 var _ = Describe("Roster", func() {
@@ -34,10 +34,10 @@
 			roster.Tick(start.Add(at))
 		}
 	}
-	listing := func(version uint64, members ...platform.Member) platform.Listing {
-		return platform.Listing{Version: version, Members: members}
+	listing := func(version uint64, members ...backing.Member) backing.Listing {
+		return backing.Listing{Version: version, Members: members}
 	}
-	member := platform.Member{ID: "entry-2", Kind: platform.KindEntry, Zone: "az-2", Address: "p2"}
+	member := backing.Member{ID: "entry-2", Kind: backing.KindEntry, Zone: "az-2", Address: "p2"}
 
 	// Guards against callers being sent to a peer that stopped, and against
 	// suspecting one after a single lost heartbeat.
@@ -147,7 +147,7 @@
 
 	// Guards against a newcomer asking for leases before it knows all peers.
 	It("tells when all listed peers were heard", func() {
-		roster.Listed(start, listing(1, member, platform.Member{ID: "entry-1", Kind: platform.KindEntry}))
+		roster.Listed(start, listing(1, member, backing.Member{ID: "entry-1", Kind: backing.KindEntry}))
 		Expect(roster.View().SelfListed).To(BeTrue())
 		Expect(roster.View().HeardAllListed).To(BeFalse())
 		roster.Heard(start, peer(7, 10))
@@ -275,7 +275,7 @@
 	case kind == "heal":
 		w.heal()
 	case kind == "drop":
-		w.relist(func(m *platform.Member) bool { return m.ID != id })
+		w.relist(func(m *backing.Member) bool { return m.ID != id })
 	case kind == "list":
 		w.relistAll()
 	}
--- a/instance/world_test.go
+++ b/instance/world_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"fulmarhoist.example/instance"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 var epochZero = time.Unix(1_764_000_000, 0)
@@ -40,11 +40,11 @@
 	wire    []delivery
 	loss    float64
 	delay   time.Duration
-	listed  platform.Listing
+	listed  backing.Listing
 	nextInc uint64
 	sent    int
 	deltas  int
-	all     []platform.Member
+	all     []backing.Member
 	replay  bool // old heartbeats arrive again
 	past    []delivery
 	last    map[string]uint64 // last sequence of an ID's earlier processes
@@ -57,8 +57,8 @@
 	for i := range count {
 		id := fmt.Sprintf("entry-%03d", i)
 		w.ids = append(w.ids, id)
-		w.listed.Members = append(w.listed.Members, platform.Member{
-			ID: id, Kind: platform.KindEntry, Zone: fmt.Sprintf("az-%d", i%3), Address: "peer-" + id,
+		w.listed.Members = append(w.listed.Members, backing.Member{
+			ID: id, Kind: backing.KindEntry, Zone: fmt.Sprintf("az-%d", i%3), Address: "peer-" + id,
 		})
 	}
 	w.all = w.listed.Members
@@ -95,14 +95,14 @@
 	w.nodes[id] = nil
 }
 
-func (w *world) relist(edit func(m *platform.Member) bool) {
-	var members []platform.Member
+func (w *world) relist(edit func(m *backing.Member) bool) {
+	var members []backing.Member
 	for _, m := range w.listed.Members {
 		if edit(&m) {
 			members = append(members, m)
 		}
 	}
-	w.listed = platform.Listing{Version: w.listed.Version + 1, Members: members}
+	w.listed = backing.Listing{Version: w.listed.Version + 1, Members: members}
 	for _, id := range w.ids {
 		if n := w.nodes[id]; n != nil && !n.frozen {
 			n.roster.Listed(w.now, w.listed)
@@ -112,7 +112,7 @@
 
 func (w *world) relistAll() {
 	w.listed.Members = w.all
-	w.relist(func(*platform.Member) bool { return true })
+	w.relist(func(*backing.Member) bool { return true })
 }
 
 func (w *world) heal() {
--- a/internal/bench/capacity/deployment_test.go
+++ b/internal/bench/capacity/deployment_test.go
@@ -17,7 +17,7 @@
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/internal/standin/fleet"
 	"fulmarhoist.example/internal/standin/instancelist"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 // programs is the folder that buildPrograms made, if it was called.
@@ -96,7 +96,7 @@
 	b.Helper()
 	for i := range c.Services {
 		for _, t := range c.Services[i].Targets {
-			member := instancelist.Member{ID: t.Name, Kind: string(platform.KindTarget), Zone: t.Zone, Address: t.Address}
+			member := instancelist.Member{ID: t.Name, Kind: string(backing.KindTarget), Zone: t.Zone, Address: t.Address}
 			if _, err := d.List.Put(b.Context(), member); err != nil {
 				b.Fatal(err)
 			}
--- a/internal/bench/capacity/newcomer_bench_test.go
+++ b/internal/bench/capacity/newcomer_bench_test.go
@@ -8,7 +8,7 @@
 
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/peerwire"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 // village is a number of rosters that exchange heartbeats in virtual time
@@ -18,7 +18,7 @@
 	random  *rand.Rand
 	rosters []*instance.Roster
 	byID    map[string]int
-	listing platform.Listing
+	listing backing.Listing
 	// frames and bytes sent so far, by sender.
 	frames, bytes map[int]float64
 }
@@ -29,7 +29,7 @@
 	v.byID[p.ID] = len(v.rosters)
 	v.rosters = append(v.rosters, instance.NewRoster(v.now, p))
 	v.listing.Version++
-	v.listing.Members = append(v.listing.Members, platform.Member{ID: p.ID, Kind: platform.KindEntry, Zone: p.Zone, Address: p.PeerAddress})
+	v.listing.Members = append(v.listing.Members, backing.Member{ID: p.ID, Kind: backing.KindEntry, Zone: p.Zone, Address: p.PeerAddress})
 }
 
 func (v *village) interval() {
--- a/internal/bench/capacity/peers_bench_test.go
+++ b/internal/bench/capacity/peers_bench_test.go
@@ -8,7 +8,7 @@
 
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/peerwire"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/target"
 )
 
@@ -29,7 +29,7 @@
 	reporter instance.Reporter
 	table    *instance.Table
 	own      []instance.Load
-	listing  platform.Listing
+	listing  backing.Listing
 	senders  []int // peers from which heartbeats come in each interval
 }
 
@@ -44,7 +44,7 @@
 	w.senders = senders(count)
 	for i := range count {
 		p := peer(start, i)
-		w.listing.Members = append(w.listing.Members, platform.Member{ID: p.ID, Kind: platform.KindEntry, Zone: p.Zone, Address: p.PeerAddress})
+		w.listing.Members = append(w.listing.Members, backing.Member{ID: p.ID, Kind: backing.KindEntry, Zone: p.Zone, Address: p.PeerAddress})
 	}
 	return w
 }
--- a/internal/bench/capacity/state_bench_test.go
+++ b/internal/bench/capacity/state_bench_test.go
@@ -12,7 +12,7 @@
 	"fulmarhoist.example/contract"
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/lease"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/target"
 )
@@ -130,7 +130,7 @@
 			var members []member
 			for i := range count {
 				members = append(members, member{
-					ID: fmt.Sprintf("service-%02d-%04d", i%29+1, i), Kind: string(platform.KindTarget),
+					ID: fmt.Sprintf("service-%02d-%04d", i%29+1, i), Kind: string(backing.KindTarget),
 					Zone: "az-1", Address: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250),
 				})
 			}
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -6,7 +6,7 @@
 
 	"fulmarhoist.example/caller"
 	"fulmarhoist.example/config"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 // ExitCode is the exit code of the process.
@@ -54,7 +54,7 @@
 		isA[*config.InvalidError](err):
 		return ExitUsage
 	case isA[*NoInstanceError](err), isA[*caller.UnreachableError](err), isA[*caller.DirectoryError](err),
-		isA[*platform.UnavailableError](err):
+		isA[*backing.UnavailableError](err):
 		return ExitUnreachable
 	default:
 		return ExitBadResult
--- a/internal/ctl/history.go
+++ b/internal/ctl/history.go
@@ -9,7 +9,7 @@
 
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/configlog"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 // pageRecords bounds the records of one read and thereby its memory.
@@ -68,10 +68,10 @@
 }
 
 // read reads one page. It returns whether there is more to read.
-func (h *history) read(ctx context.Context, log platform.Log) (bool, error) {
+func (h *history) read(ctx context.Context, log backing.Log) (bool, error) {
 	from := h.order.ReadFrom()
-	page, err := log.Read(ctx, platform.ConfigStream, from, pageRecords)
-	if trimmed, ok := errors.AsType[*platform.TrimmedError](err); ok && trimmed.First > from {
+	page, err := log.Read(ctx, backing.ConfigStream, from, pageRecords)
+	if trimmed, ok := errors.AsType[*backing.TrimmedError](err); ok && trimmed.First > from {
 		h.order.Trimmed(trimmed.First)
 		return true, nil
 	}
--- a/internal/ctl/logservice.go
+++ b/internal/ctl/logservice.go
@@ -9,7 +9,7 @@
 	"github.com/spf13/pflag"
 
 	"fulmarhoist.example/configlog"
-	"fulmarhoist.example/platformhttp"
+	"fulmarhoist.example/backinghttp"
 )
 
 // logTimeout bounds one read or append. It leaves time for several attempts
@@ -35,7 +35,7 @@
 	if f.deadline <= 0 {
 		return nil, nil, &FlagError{"--deadline", "must be above 0"}
 	}
-	client, err := platformhttp.NewLogClient(f.url, platformhttp.Settings{Timeout: logTimeout})
+	client, err := backinghttp.NewLogClient(f.url, backinghttp.Settings{Timeout: logTimeout})
 	if err != nil {
 		return nil, nil, &FlagError{"--log-service", err.Error()}
 	}
@@ -48,7 +48,7 @@
 
 // logSession is the use of the log service by one command.
 type logSession struct {
-	client    *platformhttp.LogClient
+	client    *backinghttp.LogClient
 	publisher *configlog.Publisher
 	cancel    context.CancelFunc
 }
--- a/internal/ctl/operator_test.go
+++ b/internal/ctl/operator_test.go
@@ -19,8 +19,8 @@
 	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/internal/ctl"
 	"fulmarhoist.example/internal/standin/logservice"
-	"fulmarhoist.example/platform"
-	"fulmarhoist.example/platformhttp"
+	"fulmarhoist.example/backing"
+	"fulmarhoist.example/backinghttp"
 )
 
 // world is a log service and the instances that follow it.
@@ -114,7 +114,7 @@
 }
 
 func (w *world) publisher() (*configlog.Publisher, func()) {
-	client, err := platformhttp.NewLogClient("http://"+w.log.Address(), platformhttp.Settings{})
+	client, err := backinghttp.NewLogClient("http://"+w.log.Address(), backinghttp.Settings{})
 	Expect(err).NotTo(HaveOccurred())
 	return configlog.NewPublisher(client, configlog.Options{}), client.Close
 }
@@ -153,7 +153,7 @@
 }
 
 // appends counts the records of the configuration stream.
-func (w *world) appends() uint64 { return w.log.State().Streams[string(platform.ConfigStream)].Next }
+func (w *world) appends() uint64 { return w.log.State().Streams[string(backing.ConfigStream)].Next }
 
 // run adds the flags of the log service and the instances.
 func (w *world) run(arguments ...string) (ctl.ExitCode, string, string) {
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -12,7 +12,7 @@
 	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/internal/standin/fleet"
 	"fulmarhoist.example/internal/standin/logservice"
-	"fulmarhoist.example/platform"
+	"fulmarhoist.example/backing"
 )
 
 // inForceLimit is the time after its acceptance in which a configuration is in
@@ -139,12 +139,12 @@
 		Expect(f.SetZoneOut(ctx, "az-2", true)).To(Succeed())
 		Expect(f.Publish(ctx, withZoneOut(f, "az-3"))).To(Succeed())
 		accepted := time.Now()
-		page, err := f.LogClient.Read(ctx, platform.ConfigStream, 0, 100)
+		page, err := f.LogClient.Read(ctx, backing.ConfigStream, 0, 100)
 		Expect(err).NotTo(HaveOccurred())
 		copies := 0
 		for _, record := range page.Records {
 			if _, ok := configlog.Decode(record.Data).(config.Publication); ok {
-				_, err := f.LogClient.Append(ctx, platform.ConfigStream, record.Data)
+				_, err := f.LogClient.Append(ctx, backing.ConfigStream, record.Data)
 				Expect(err).NotTo(HaveOccurred())
 				copies++
 			}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -13,8 +13,8 @@
 	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/internal/standin/control"
 	"fulmarhoist.example/internal/standin/instancelist"
-	"fulmarhoist.example/platform"
-	"fulmarhoist.example/platformhttp"
+	"fulmarhoist.example/backing"
+	"fulmarhoist.example/backinghttp"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/settings"
 )
@@ -81,7 +81,7 @@
 	List      *control.List
 	Targets   []*Target
 	Instances []*Instance
-	LogClient platform.Log // as operators reach the log service
+	LogClient backing.Log // as operators reach the log service
 	Publisher *configlog.Publisher
 	Config    *config.Configuration
 
@@ -150,7 +150,7 @@
 	}
 	f.logAddress, f.listAddress = log.Address, list.Address
 	f.Log, f.List = control.NewLog(log.Control), control.NewList(list.Control)
-	client, err := platformhttp.NewLogClient("http://"+log.Address, platformhttp.Settings{})
+	client, err := backinghttp.NewLogClient("http://"+log.Address, backinghttp.Settings{})
 	if err != nil {
 		return fmt.Errorf("make a publisher: %w", err)
 	}
@@ -173,7 +173,7 @@
 	}
 	t.Process, t.Address, t.Control = p, ready.Address, control.NewTarget(ready.Control)
 	f.Targets = append(f.Targets, t)
-	member := instancelist.Member{ID: t.Name, Kind: string(platform.KindTarget), Zone: t.Zone, Address: t.Address}
+	member := instancelist.Member{ID: t.Name, Kind: string(backing.KindTarget), Zone: t.Zone, Address: t.Address}
 	if _, err := f.List.Put(ctx, member); err != nil {
 		return fmt.Errorf("list target %s: %w", t.Name, err)
 	}
@@ -200,7 +200,7 @@
 	}
 	i.Process = p
 	address := i.through(RoutePeers, i.Peers)
-	member := instancelist.Member{ID: i.ID, Kind: string(platform.KindEntry), Zone: i.Zone, Address: address}
+	member := instancelist.Member{ID: i.ID, Kind: string(backing.KindEntry), Zone: i.Zone, Address: address}
 	if _, err := f.List.Put(ctx, member); err != nil {
 		return fmt.Errorf("list instance %s: %w", i.ID, err)
 	}
