exchange: take the protocol towards targets as a part

Cause: exchange and link held the product's own headers towards targets as constants, so a second protocol would have needed a second copy of the run loop with its decisions. Change: an Exchange is given a Sender; exchange.Links is the one that speaks the product's own protocol. The body of a request is exported for senders.

--- a/exchange/body.go
+++ b/exchange/body.go
@@ -11,9 +11,9 @@
 // can be sent once.
 const MaxReplayBytes = 256 << 10
 
-// body is the body of a request. It is replayable while the whole of it is in
+// Body is the body of a request. It is replayable while the whole of it is in
 // memory, or while no byte beyond the kept part was read.
-type body struct {
+type Body struct {
 	kept []byte
 	rest io.Reader // nil if kept is the whole body
 	size int64     // -1 if unknown
@@ -21,25 +21,25 @@
 }
 
 // readBody reads up to MaxReplayBytes of the source into memory.
-func readBody(source io.Reader, size int64) (*body, error) {
+func readBody(source io.Reader, size int64) (*Body, error) {
 	if source == nil || size == 0 {
-		return &body{}, nil
+		return &Body{}, nil
 	}
 	kept, err := io.ReadAll(io.LimitReader(source, MaxReplayBytes+1))
 	if err != nil {
 		return nil, &BodyError{Err: err}
 	}
 	if len(kept) <= MaxReplayBytes {
-		return &body{kept: kept, size: int64(len(kept))}, nil
+		return &Body{kept: kept, size: int64(len(kept))}, nil
 	}
-	return &body{kept: kept, rest: source, size: size}, nil
+	return &Body{kept: kept, rest: source, size: size}, nil
 }
 
-// replayable tells whether reader may be called.
-func (b *body) replayable() bool { return b.rest == nil || !b.used }
+// replayable tells whether Reader may be called.
+func (b *Body) replayable() bool { return b.rest == nil || !b.used }
 
-// reader returns the whole body from its start.
-func (b *body) reader() io.Reader {
+// Reader returns the whole body from its start.
+func (b *Body) Reader() io.Reader {
 	if b.rest == nil {
 		// The wrapper hides the type from net/http, which would otherwise be
 		// able to send the body again by itself.
@@ -57,3 +57,6 @@
 func (e *BodyError) Error() string { return fmt.Sprintf("read the request body: %v", e.Err) }
 
 func (e *BodyError) Unwrap() error { return e.Err }
+
+// Size returns the length of the body in bytes, or -1 if it is unknown.
+func (b *Body) Size() int64 { return b.size }
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -6,40 +6,21 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"slices"
-	"strconv"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"fulmarhoist.example/contract"
-	"fulmarhoist.example/link"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/target"
 )
 
-// Headers between entry instances and targets.
-const (
-	headerAttemptID = "Fulmarhoist-Attempt-Id"
-	headerDeadline  = "Fulmarhoist-Deadline"
-	headerDepth     = "Fulmarhoist-Depth"
-	headerRetries   = "Fulmarhoist-Retries-Left"
-	headerClass     = "Fulmarhoist-Class"
-	headerKey       = "Fulmarhoist-Request-Key"
-	headerInstance  = "Fulmarhoist-Instance"
-	headerBootID    = "Fulmarhoist-Boot-Id"
-	headerLoad      = "Fulmarhoist-Load"
-	headerNotRun    = "Fulmarhoist-Not-Run"
-	headerDraining  = "Fulmarhoist-Draining"
-)
-
 // Request is what a caller wants sent, without hop-by-hop headers.
 type Request struct {
 	Method string
@@ -55,13 +36,32 @@
 	Discarded(service string)                                             // an answer that was late, crossed or cut
 }
 
+// Sender has connections to targets. It speaks the protocol between entry
+// instances and targets, so that the same exchange serves several protocols.
+type Sender interface {
+	// Prepare finds a connection to the permitted target before the attempt
+	// begins. It returns nil if none can be had now; the permit is then still
+	// held by the caller.
+	Prepare(ctx context.Context, x *Exchange, permit target.Permit) Sending
+}
+
+// Sending is one attempt that has a connection. Either Send or Abandon is called
+// once; both release the permit, Send at the end of the answer.
+type Sending interface {
+	// Send writes the request and reads the answer. If the error is not nil, the
+	// failure says whether the target may have run the request.
+	Send(ctx context.Context, request *Request, content *Body) (*Response, contract.Failure, error)
+	// Abandon gives the connection back unused.
+	Abandon()
+}
+
 // Exchange serves one request. It is used by one goroutine.
 type Exchange struct {
 	Instance string
 	Contract *contract.Contract
 	Service  *service.Service
 	Demand   service.Demand // rank and bounds; deadline and mark are set here
-	Links    *Links
+	Sender   Sender
 	Crashes  *contract.Fingerprints
 	Tracer   trace.Tracer
 	Observer Observer
@@ -87,7 +87,7 @@
 	x.Service.Retries.Request(began)
 	for {
 		if !x.Crashes.Empty() {
-			now, fingerprint := time.Now(), fingerprintOf(x, request, content)
+			now, fingerprint := time.Now(), FingerprintOf(x, request, content)
 			if x.Crashes.Refused(now, fingerprint) {
 				cancel()
 				return nil, x.crashes()
@@ -104,7 +104,7 @@
 			continue
 		}
 		if response != nil && !x.Crashes.Empty() {
-			x.Crashes.Answered(fingerprintOf(x, request, content))
+			x.Crashes.Answered(FingerprintOf(x, request, content))
 		}
 		if response == nil || response.Rest == nil {
 			cancel()
@@ -152,7 +152,7 @@
 	}
 	permit, refusal := x.find(ctx)
 	if refusal == nil && x.Isolated != nil && x.Isolated() {
-		x.release(permit)
+		x.Release(permit)
 		return target.Permit{}, x.Contract.Refuse(contract.ReasonIsolated)
 	}
 	return permit, refusal
@@ -251,24 +251,18 @@
 
 // attempt sends the request once. The result again tells that another attempt
 // may follow.
-func (x *Exchange) attempt(ctx context.Context, permit target.Permit, request *Request, content *body) (response *Response, refusal *contract.Refusal, again bool) {
+func (x *Exchange) attempt(ctx context.Context, permit target.Permit, request *Request, content *Body) (response *Response, refusal *contract.Refusal, again bool) {
 	chosen := permit.Target
-	set := x.Links.Set(chosen)
-	if set == nil {
-		x.release(permit)
-		pause(ctx, linkPause)
-		return nil, nil, true
-	}
-	taken := x.take(set)
-	if taken == nil {
-		x.release(permit)
+	sending := x.Sender.Prepare(ctx, x, permit)
+	if sending == nil {
+		x.Release(permit)
 		x.avoid(chosen)
 		pause(ctx, linkPause)
 		return nil, nil, true
 	}
-	s := &sending{x: x, permit: permit, set: set, link: taken, began: time.Now()}
-	if err := x.Contract.BeginAttempt(s.began); err != nil {
-		s.finish(true, s.began)
+	began := time.Now()
+	if err := x.Contract.BeginAttempt(began); err != nil {
+		sending.Abandon()
 		return nil, refusalOf(err), false
 	}
 	ctx, span := x.Tracer.Start(ctx, "attempt", clientSpan)
@@ -276,13 +270,13 @@
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("target", chosen.Spec.Name), attribute.Int("attempt", x.Contract.Attempts()))
 	}
-	response, failure, err := s.send(ctx, request, content)
+	response, failure, err := sending.Send(ctx, request, content)
 	if err == nil {
 		x.Contract.Answer()
 		return response, nil, false
 	}
 	span.RecordError(err)
-	x.Observer.Attempt(x.Service.Name, failure, time.Since(s.began))
+	x.Observer.Attempt(x.Service.Name, failure, time.Since(began))
 	x.avoid(chosen)
 	if !content.replayable() {
 		return nil, x.Contract.Stop(failure), false
@@ -305,14 +299,6 @@
 	}
 }
 
-// take avoids links that may have gone silent with another one.
-func (x *Exchange) take(set *link.Set) *link.Link {
-	if x.silent.IsZero() {
-		return set.Take()
-	}
-	return set.TakeFresh(x.silent)
-}
-
 // pause waits, or returns when the context ends.
 func pause(ctx context.Context, length time.Duration) {
 	timer := time.NewTimer(length)
@@ -341,42 +327,10 @@
 	return &contract.Refusal{Outcome: contract.OutcomeUnknown, Reason: contract.ReasonAnswerLost}
 }
 
-func (x *Exchange) release(permit target.Permit) {
+// Release gives a permit back and lets a waiting request choose again.
+func (x *Exchange) Release(permit target.Permit) {
 	permit.Release()
 	x.Service.Queue.Released(time.Now())
 }
 
-// outgoing makes the request of one attempt.
-func (x *Exchange) outgoing(ctx context.Context, request *Request, content *body, attemptID string) *http.Request {
-	header := request.Header.Clone()
-	terms := &x.Contract.Terms
-	header.Set(headerAttemptID, attemptID)
-	header.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(terms.Deadline).Milliseconds()), 10))
-	header.Set(headerDepth, strconv.Itoa(terms.Depth+1))
-	header.Set(headerRetries, strconv.Itoa(x.Contract.RetriesLeft()))
-	header.Set(headerClass, terms.Class)
-	header.Set(headerInstance, x.Instance)
-	if !terms.Key.IsZero() {
-		header.Set(headerKey, terms.Key.String())
-	}
-	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(header))
-	address := *request.URL
-	out := &http.Request{
-		Method:        request.Method,
-		URL:           &address,
-		Host:          request.Header.Get("Host"),
-		Header:        header,
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-		ContentLength: content.size,
-	}
-	if content.size != 0 {
-		out.Body = io.NopCloser(content.reader())
-	}
-	return out.WithContext(ctx)
-}
-
 var clientSpan = trace.WithSpanKind(trace.SpanKindClient)
-
-func newAttemptID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
--- a/exchange/rig_test.go
+++ b/exchange/rig_test.go
@@ -96,7 +96,7 @@
 	found, _ := r.catalog.Snapshot().Service("orders")
 	terms.Service, terms.Class = "orders", "class"
 	return &exchange.Exchange{
-		Instance: "entry-1", Contract: contract.New(terms), Service: found, Links: r.links,
+		Instance: "entry-1", Contract: contract.New(terms), Service: found, Sender: r.links,
 		Crashes: contract.NewFingerprints(), Tracer: noop.NewTracerProvider().Tracer(""), Observer: &r.observer,
 	}
 }
--- a/exchange/sending.go
+++ b/exchange/sending.go
@@ -3,19 +3,61 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/propagation"
+
 	"fulmarhoist.example/contract"
 	"fulmarhoist.example/link"
 	"fulmarhoist.example/target"
 )
 
+// Headers between entry instances and targets.
+const (
+	headerAttemptID = "Fulmarhoist-Attempt-Id"
+	headerDeadline  = "Fulmarhoist-Deadline"
+	headerDepth     = "Fulmarhoist-Depth"
+	headerRetries   = "Fulmarhoist-Retries-Left"
+	headerClass     = "Fulmarhoist-Class"
+	headerKey       = "Fulmarhoist-Request-Key"
+	headerInstance  = "Fulmarhoist-Instance"
+	headerBootID    = "Fulmarhoist-Boot-Id"
+	headerLoad      = "Fulmarhoist-Load"
+	headerNotRun    = "Fulmarhoist-Not-Run"
+	headerDraining  = "Fulmarhoist-Draining"
+)
+
+// Prepare implements Sender: it takes an idle link to the target.
+func (l *Links) Prepare(_ context.Context, x *Exchange, permit target.Permit) Sending {
+	set := l.Set(permit.Target)
+	if set == nil {
+		return nil
+	}
+	taken := takeLink(set, x.silent)
+	if taken == nil {
+		return nil
+	}
+	return &sending{x: x, links: l, permit: permit, set: set, link: taken, began: time.Now()}
+}
+
+// takeLink avoids links that may have gone silent with the one that an earlier
+// attempt met.
+func takeLink(set *link.Set, silent time.Time) *link.Link {
+	if silent.IsZero() {
+		return set.Take()
+	}
+	return set.TakeFresh(silent)
+}
+
 // sending is one attempt on one link. It ends with finish, exactly once.
 type sending struct {
 	x      *Exchange
+	links  *Links
 	permit target.Permit
 	set    *link.Set
 	link   *link.Link
@@ -39,13 +81,15 @@
 	return fmt.Sprintf("target %s restarted or its lease ended before the request was sent", e.Target)
 }
 
-// send writes the request and reads the answer. If err is not nil, failure says
-// whether the target may have run it.
-func (s *sending) send(ctx context.Context, request *Request, content *body) (*Response, contract.Failure, error) {
+// Abandon implements Sending.
+func (s *sending) Abandon() { s.finish(true, s.began) }
+
+// Send implements Sending.
+func (s *sending) Send(ctx context.Context, request *Request, content *Body) (*Response, contract.Failure, error) {
 	attemptID := newAttemptID()
-	s.link.Carry(&link.Work{Fingerprint: func() contract.Fingerprint { return fingerprintOf(s.x, request, content) }})
+	s.link.Carry(&link.Work{Fingerprint: func() contract.Fingerprint { return FingerprintOf(s.x, request, content) }})
 	watch := s.watch(ctx, attemptID)
-	out := s.x.outgoing(watch.ctx, request, content, attemptID)
+	out := outgoing(watch.ctx, s.x, request, content, attemptID)
 	watch.observe(out)
 	if !s.permit.MaySend(time.Now()) {
 		watch.end()
@@ -69,7 +113,7 @@
 		s.permit.Target.ReportServer(time.Now(), inside)
 	}
 	if answer.Header.Get(headerDraining) != "" {
-		s.x.Links.Draining(s.permit.Target, s.permit.Generation)
+		s.links.Draining(s.permit.Target, s.permit.Generation)
 	}
 	if answer.StatusCode == http.StatusServiceUnavailable && answer.Header.Get(headerNotRun) != "" {
 		return nil, s.declined(answer), &DeclinedError{s.permit.Target.Spec.Name}
@@ -144,9 +188,44 @@
 	} else {
 		s.link.Close()
 	}
-	s.x.release(s.permit)
+	s.x.Release(s.permit)
 }
 
-func fingerprintOf(x *Exchange, request *Request, content *body) contract.Fingerprint {
+// FingerprintOf identifies the request of an exchange among those that took a
+// target down.
+func FingerprintOf(x *Exchange, request *Request, content *Body) contract.Fingerprint {
 	return contract.NewFingerprint(x.Service.Name, x.Contract.Terms.Class, request.Method, request.URL.RequestURI(), content.kept)
 }
+
+// outgoing makes the request of one attempt.
+func outgoing(ctx context.Context, x *Exchange, request *Request, content *Body, attemptID string) *http.Request {
+	header := request.Header.Clone()
+	terms := &x.Contract.Terms
+	header.Set(headerAttemptID, attemptID)
+	header.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(terms.Deadline).Milliseconds()), 10))
+	header.Set(headerDepth, strconv.Itoa(terms.Depth+1))
+	header.Set(headerRetries, strconv.Itoa(x.Contract.RetriesLeft()))
+	header.Set(headerClass, terms.Class)
+	header.Set(headerInstance, x.Instance)
+	if !terms.Key.IsZero() {
+		header.Set(headerKey, terms.Key.String())
+	}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(header))
+	address := *request.URL
+	out := &http.Request{
+		Method:        request.Method,
+		URL:           &address,
+		Host:          request.Header.Get("Host"),
+		Header:        header,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		ContentLength: content.size,
+	}
+	if content.size != 0 {
+		out.Body = io.NopCloser(content.Reader())
+	}
+	return out.WithContext(ctx)
+}
+
+func newAttemptID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -173,7 +173,7 @@
 		Contract: contract.New(a.terms),
 		Service:  a.service,
 		Demand:   demandOf(a.class),
-		Links:    f.Links,
+		Sender:   f.Links,
 		Crashes:  f.Crashes,
 		Tracer:   f.Tracer,
 		Observer: f.Metrics,
