Keep back-offs, leases and budgets off the time of day

Cause: atomics held Unix nanoseconds, so a step of the clock would have blocked targets or held leases for the length of the step. Change: package monotime; target and service store monotonic nanoseconds.

--- a/service/budget.go
+++ b/service/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"fulmarhoist.example/monotime"
 )
 
 const (
@@ -84,10 +86,10 @@
 	}
 }
 
-// advance returns the newest second seen, with now. Seconds fit in 32 bits until
-// the year 2106.
+// advance returns the newest second seen, with now. Seconds since the
+// base of monotime fit in 32 bits.
 func (b *RetryBudget) advance(now time.Time) int64 {
-	second := max(0, now.Unix())
+	second := max(0, monotime.Seconds(now))
 	for {
 		latest := b.latest.Load()
 		if second <= latest {
--- a/service/service.go
+++ b/service/service.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"fulmarhoist.example/monotime"
 	"fulmarhoist.example/target"
 	"fulmarhoist.example/zone"
 )
@@ -68,7 +69,7 @@
 
 	view    atomic.Pointer[View]
 	policy  Policy
-	askedAt atomic.Int64 // when a request last came, Unix nanoseconds
+	askedAt atomic.Int64 // when a request last came, monotime nanoseconds
 }
 
 // demandWindow is how long the service counts as in use after a request.
@@ -77,11 +78,11 @@
 // Asked records that a request has come. Cold targets warm up from then on, not
 // only when a request has to wait: a zone that returned stayed without work for
 // as long as the others sufficed, and was cold when it was needed.
-func (s *Service) Asked(now time.Time) { s.askedAt.Store(now.UnixNano()) }
+func (s *Service) Asked(now time.Time) { s.askedAt.Store(monotime.Nanos(now)) }
 
 // Wanted implements link.Demand.
 func (s *Service) Wanted(now time.Time) bool {
-	return now.UnixNano()-s.askedAt.Load() < int64(demandWindow) || s.Queue.Len() > 0
+	return monotime.Nanos(now)-s.askedAt.Load() < int64(demandWindow) || s.Queue.Len() > 0
 }
 
 // Ready implements link.Demand.
--- a/target/target.go
+++ b/target/target.go
@@ -12,6 +12,8 @@
 	"math"
 	"sync/atomic"
 	"time"
+
+	"fulmarhoist.example/monotime"
 )
 
 // State is what an entry instance believes about a target.
@@ -84,13 +86,13 @@
 	word      atomic.Uint64
 	service   atomic.Uint64 // smoothed response time in seconds, as float64 bits
 	peerLoad  atomic.Uint64 // requests in flight from other instances, as float64 bits
-	peerAt    atomic.Int64  // time of peerLoad, Unix nanoseconds
+	peerAt    atomic.Int64  // time of peerLoad, monotime nanoseconds
 	failures  atomic.Uint32 // consecutive failures
-	blockedTo atomic.Int64  // no new work before this time, Unix nanoseconds
+	blockedTo atomic.Int64  // no new work before this time, monotime nanoseconds
 	answers   atomic.Uint64 // whole answers since this instance knows the target
 	process   atomic.Pointer[process]
 	ended     atomic.Pointer[endedGeneration]
-	coldUntil atomic.Int64 // work for a cold target may start before this time, Unix nanoseconds
+	coldUntil atomic.Int64 // work for a cold target may start before this time, monotime nanoseconds
 }
 
 // defaultServiceTime is the estimate before the first answer.
@@ -129,7 +131,7 @@
 
 // Admit takes a permit if the limit allows one more request.
 func (t *Target) Admit(now time.Time) (Permit, bool) {
-	if now.UnixNano() < t.blockedTo.Load() {
+	if monotime.Nanos(now) < t.blockedTo.Load() {
 		return Permit{}, false
 	}
 	for {
@@ -168,7 +170,7 @@
 
 // allows tells whether work may start now. A cold target needs a lease.
 func (t *Target) allows(w word, now time.Time) bool {
-	return w.state() != StateCold || now.UnixNano() < t.coldUntil.Load()
+	return w.state() != StateCold || monotime.Nanos(now) < t.coldUntil.Load()
 }
 
 // Lease allows work for the cold target until the given time. The zero time
@@ -178,7 +180,7 @@
 		t.coldUntil.Store(0)
 		return
 	}
-	t.coldUntil.Store(until.UnixNano())
+	t.coldUntil.Store(monotime.Nanos(until))
 }
 
 // Transition sets state and limit if the target is still in the given
@@ -325,12 +327,12 @@
 func (t *Target) Failed(now time.Time) {
 	for {
 		blocked := t.blockedTo.Load()
-		if now.UnixNano() < blocked {
+		if monotime.Nanos(now) < blocked {
 			return
 		}
 		count := t.failures.Load() + 1
 		backoff := min(firstBackoff<<min(count-1, 10), maxBackoff)
-		if t.blockedTo.CompareAndSwap(blocked, now.Add(backoff).UnixNano()) {
+		if t.blockedTo.CompareAndSwap(blocked, monotime.Nanos(now.Add(backoff))) {
 			t.failures.Store(count)
 			return
 		}
@@ -361,10 +363,10 @@
 }
 
 func (t *Target) averagePeers(now time.Time, inFlight float64, halfLife time.Duration) {
-	last := t.peerAt.Swap(now.UnixNano())
+	last := t.peerAt.Swap(monotime.Nanos(now))
 	weight := 1.0
 	if last != 0 {
-		passed := max(0, time.Duration(now.UnixNano()-last))
+		passed := max(0, time.Duration(monotime.Nanos(now)-last))
 		weight = 1 - math.Exp2(-passed.Seconds()/halfLife.Seconds())
 	}
 	for {
@@ -382,7 +384,7 @@
 	mean := math.Float64frombits(t.service.Load())
 	peers := math.Float64frombits(t.peerLoad.Load())
 	if peers > 0 {
-		age := time.Duration(now.UnixNano() - t.peerAt.Load())
+		age := time.Duration(monotime.Nanos(now) - t.peerAt.Load())
 		peers *= math.Exp2(-age.Seconds() / peerLoadHalfLife.Seconds())
 	}
 	slots := float64(max(1, t.Spec.Slots))
@@ -394,5 +396,5 @@
 // when it is used; only Admit decides.
 func (t *Target) Admits(now time.Time) bool {
 	w := word(t.word.Load())
-	return w.inFlight() < w.limit() && t.allows(w, now) && now.UnixNano() >= t.blockedTo.Load()
+	return w.inFlight() < w.limit() && t.allows(w, now) && monotime.Nanos(now) >= t.blockedTo.Load()
 }
