--- /dev/null
+++ b/cmd/fulmarhoistd/entry.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"os"
+
+	"github.com/rs/zerolog/diode"
+	"github.com/spf13/cobra"
+
+	"fulmarhoist.example/node"
+	"fulmarhoist.example/platform"
+)
+
+// newEntryCommand returns the command that runs an entry instance on the users'
+// platform.
+func newEntryCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:           "entry",
+		Short:         "Run an entry instance on the users' platform",
+		Long:          "Run an entry instance that reads the platform's settings file, whose path is in " + platform.SettingsVariable + ".",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          runEntry,
+	}
+}
+
+// logBuffer is how many log lines wait for the output. Requests never wait for it.
+const logBuffer = 2048
+
+func runEntry(cmd *cobra.Command, _ []string) error {
+	settings, err := platform.LoadSettings(platform.SettingsPath())
+	if err != nil {
+		return err
+	}
+	logs := diode.NewWriter(os.Stdout, logBuffer, 0, func(int) {})
+	defer func() { _ = logs.Close() }()
+	n, err := node.New(settings, platform.New(settings), logs)
+	if err != nil {
+		return err
+	}
+	return n.Run(cmd.Context())
+}
--- a/cmd/fulmarhoistd/main.go
+++ b/cmd/fulmarhoistd/main.go
@@ -55,6 +55,7 @@
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "path of the settings file (JSON)")
 	_ = cmd.MarkFlagRequired("settings")
+	cmd.AddCommand(newEntryCommand())
 	return cmd
 }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -28,6 +29,11 @@
 	Header http.Header
 	Body   io.Reader
 	Size   int64 // -1 if unknown
+	// ID names the request where the protocol of the targets uses the caller's name
+	// for it.
+	ID string
+	// Target is the path and query as the caller sent them; "" if URL gives them.
+	Target string
 }
 
 // Observer is told about attempts, for metrics.
@@ -36,6 +42,22 @@
 	Discarded(service string)                                             // an answer that was late, crossed or cut
 }
 
+// Chooser finds a target for a request. It may ask targets for their load first.
+type Chooser interface {
+	// Choose takes a permit from a target that is not among those tried.
+	Choose(ctx context.Context, s *service.Service, tried service.Tried, size int64) (target.Permit, bool)
+}
+
+// FailedAnswerError is a failure that a target answered to a request that may be
+// sent again. It is passed on if no other attempt may follow.
+type FailedAnswerError struct {
+	Response *Response
+}
+
+func (e *FailedAnswerError) Error() string {
+	return fmt.Sprintf("the target answered with status %d", e.Response.Status)
+}
+
 // Sender has connections to targets. It speaks the protocol between entry
 // instances and targets, so that the same exchange serves several protocols.
 type Sender interface {
@@ -62,6 +84,7 @@
 	Service  *service.Service
 	Demand   service.Demand // rank and bounds; deadline and mark are set here
 	Sender   Sender
+	Chooser  Chooser // nil for the policy of the service
 	Crashes  *contract.Fingerprints
 	Tracer   trace.Tracer
 	Observer Observer
@@ -71,6 +94,8 @@
 	tried  service.Tried
 	barred service.Tried // targets that went down while they ran this request
 	silent time.Time     // when an attempt began that met a silent connection
+	size   int64         // of the body
+	failed *Response     // newest failure that a target answered
 }
 
 // Run sends the request until it is answered or the contract refuses another
@@ -82,6 +107,7 @@
 		cancel()
 		return nil, x.Contract.Refuse(bodyReason(err))
 	}
+	x.size = content.size
 	began := time.Now()
 	x.Service.Asked(began)
 	x.Service.Retries.Request(began)
@@ -103,6 +129,9 @@
 		if again {
 			continue
 		}
+		if refusal != nil && x.failed != nil {
+			response, refusal = x.failed, nil
+		}
 		if response != nil && !x.Crashes.Empty() {
 			x.Crashes.Answered(FingerprintOf(x, request, content))
 		}
@@ -162,7 +191,7 @@
 func (x *Exchange) find(ctx context.Context) (target.Permit, *contract.Refusal) {
 	seen := x.Service.Queue.Seen()
 	if x.Service.Queue.Len() == 0 {
-		if permit, ok := x.choose(); ok {
+		if permit, ok := x.choose(ctx); ok {
 			return permit, nil
 		}
 	}
@@ -170,15 +199,21 @@
 }
 
 // choose prefers targets that this request has not failed on.
-func (x *Exchange) choose() (target.Permit, bool) {
-	now := time.Now()
-	if permit, ok := x.Service.Choose(now, x.tried, rand.Uint64()); ok {
+func (x *Exchange) choose(ctx context.Context) (target.Permit, bool) {
+	if permit, ok := x.chooseBut(ctx, x.tried); ok {
 		return permit, true
 	}
 	if len(x.tried) == len(x.barred) {
 		return target.Permit{}, false
 	}
-	return x.Service.Choose(now, x.barred, rand.Uint64())
+	return x.chooseBut(ctx, x.barred)
+}
+
+func (x *Exchange) chooseBut(ctx context.Context, tried service.Tried) (target.Permit, bool) {
+	if x.Chooser != nil {
+		return x.Chooser.Choose(ctx, x.Service, tried, x.size)
+	}
+	return x.Service.Choose(time.Now(), tried, rand.Uint64())
 }
 
 // bar excludes the targets with the given names. One that has restarted would go
@@ -212,13 +247,13 @@
 			if waiter.Displaced() {
 				return target.Permit{}, x.Contract.Refuse(contract.ReasonQueueFull)
 			}
-			if permit, ok := x.choose(); ok {
+			if permit, ok := x.choose(ctx); ok {
 				queue.Taken(waiter)
 				return permit, nil
 			}
 			queue.Rejoin(waiter)
 		case <-recheck.C:
-			if permit, ok := x.choose(); ok {
+			if permit, ok := x.choose(ctx); ok {
 				queue.Leave(waiter)
 				return permit, nil
 			}
@@ -276,6 +311,10 @@
 		return response, nil, false
 	}
 	span.RecordError(err)
+	var answered *FailedAnswerError
+	if errors.As(err, &answered) {
+		x.failed = answered.Response
+	}
 	x.Observer.Attempt(x.Service.Name, failure, time.Since(began))
 	x.avoid(chosen)
 	if !content.replayable() {
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,181 @@
+// Package feed follows a keyed topic of the platform's store: it reads the newest
+// record of each key, then every later one, and starts again from the newest ones
+// when records between were deleted.
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"fulmarhoist.example/monotime"
+)
+
+// Record is the newest value of a key.
+type Record struct {
+	Key     string
+	Value   []byte
+	Deleted bool
+}
+
+// Batch is the result of one read: records in order, and the offset after them.
+type Batch struct {
+	Records []Record
+	Next    uint64
+}
+
+// Log reads keyed topics. Implementations are safe for concurrent use.
+type Log interface {
+	// Newest returns the newest record of each key, and the offset from which on
+	// later ones may follow.
+	Newest(ctx context.Context, topic string) (Batch, error)
+	// Read waits up to the given time for records from an offset on. A
+	// *TrimmedError says that records from there on were deleted.
+	Read(ctx context.Context, topic string, from uint64, wait time.Duration) (Batch, error)
+}
+
+// TrimmedError reports a read of records that were deleted.
+type TrimmedError struct {
+	Topic string
+	From  uint64
+}
+
+func (e *TrimmedError) Error() string {
+	return fmt.Sprintf("topic %s: records from offset %d on were deleted", e.Topic, e.From)
+}
+
+// settleTime is how long after the last failed call the effects of an outage of
+// the store may still appear. Entries that expired in an outage are written again
+// within about two seconds of its end.
+const settleTime = 2500 * time.Millisecond
+
+// Health tells whether the store has just been away. All callers of the store in
+// one process share it. It is safe for concurrent use.
+type Health struct {
+	failedAt atomic.Int64 // monotime nanoseconds; 0 if no call failed yet
+	down     atomic.Bool
+}
+
+// Failed records a call without a usable answer. It tells whether the store
+// seemed up before.
+func (h *Health) Failed(now time.Time) (lost bool) {
+	h.failedAt.Store(monotime.Nanos(now))
+	return !h.down.Swap(true)
+}
+
+// Succeeded records an answer and tells whether the store seemed down before.
+func (h *Health) Succeeded() (regained bool) { return h.down.Swap(false) }
+
+// Down tells whether the last call failed.
+func (h *Health) Down() bool { return h.down.Load() }
+
+// Settling tells whether what the store shows may be the effect of an outage.
+func (h *Health) Settling(now time.Time) bool {
+	at := h.failedAt.Load()
+	return at != 0 && monotime.Nanos(now)-at < int64(settleTime)
+}
+
+// Event is a batch on its way to the one that applies it.
+type Event struct {
+	Topic   string
+	Records []Record
+	// Listing is true if the records are the newest ones of all keys; a key that
+	// is not among them is gone.
+	Listing bool
+}
+
+// Follower follows one topic.
+type Follower struct {
+	Log    Log
+	Health *Health
+	Topic  string
+	// Wait is how long one read may wait at the store.
+	Wait time.Duration
+	// Interval is the least time between two reads, in which records collect.
+	Interval time.Duration
+	// Deliver hands an event to its reader; it may wait.
+	Deliver func(ctx context.Context, event Event)
+	// Report tells about a lost or regained store; err is nil if it is regained.
+	Report func(topic string, err error)
+}
+
+const (
+	// firstBackoff and maxBackoff bound the pause after a failed call. The bounds
+	// of the configuration and of leaving targets are about two seconds.
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 400 * time.Millisecond
+	// listTimeout bounds one listing of all keys.
+	listTimeout = 3 * time.Second
+	// readMargin is how much longer than its wait a read may take.
+	readMargin = 2 * time.Second
+)
+
+// Run follows the topic until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	backoff := firstBackoff
+	next, listed := uint64(0), false
+	for ctx.Err() == nil {
+		began := time.Now()
+		event, after, err := f.step(ctx, next, listed)
+		if err != nil {
+			var trimmed *TrimmedError
+			if errors.As(err, &trimmed) {
+				listed = false
+				continue
+			}
+			if ctx.Err() != nil {
+				return
+			}
+			if f.Health.Failed(time.Now()) {
+				f.Report(f.Topic, err)
+			}
+			sleep(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		if f.Health.Succeeded() {
+			f.Report(f.Topic, nil)
+		}
+		backoff = firstBackoff
+		if event.Listing || len(event.Records) > 0 {
+			f.Deliver(ctx, event)
+		}
+		next, listed = after, true
+		sleep(ctx, f.Interval-time.Since(began))
+	}
+}
+
+func (f *Follower) step(ctx context.Context, next uint64, listed bool) (Event, uint64, error) {
+	if !listed {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		batch, err := f.Log.Newest(ctx, f.Topic)
+		if err != nil {
+			return Event{}, 0, fmt.Errorf("list topic %s: %w", f.Topic, err)
+		}
+		return Event{Topic: f.Topic, Records: batch.Records, Listing: true}, batch.Next, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+readMargin)
+	defer cancel()
+	batch, err := f.Log.Read(ctx, f.Topic, next, f.Wait)
+	if err != nil {
+		return Event{}, 0, fmt.Errorf("read topic %s: %w", f.Topic, err)
+	}
+	return Event{Topic: f.Topic, Records: batch.Records}, batch.Next, nil
+}
+
+// sleep waits, or returns when the context ends.
+func sleep(ctx context.Context, length time.Duration) {
+	if length <= 0 {
+		return
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,100 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/fleet"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+func member(i int) fleet.Member {
+	return fleet.Member{Name: fmt.Sprintf("entry-%d", i), Zone: fmt.Sprintf("az-%d", i%3), Address: fmt.Sprintf("10.0.0.%d:80", i)}
+}
+
+func members(n int) []fleet.Member {
+	var all []fleet.Member
+	for i := range n {
+		all = append(all, member(i))
+	}
+	return all
+}
+
+var _ = Describe("Roster", func() {
+	now := time.Now()
+
+	Describe("Addresses", func() {
+		// Guards against callers that are sent through another zone without need.
+		It("names the instances of the caller's zone", func() {
+			r := fleet.NewRoster(member(0))
+			r.Replace(now, members(6))
+			Expect(r.Addresses("az-1", true)).To(ConsistOf("10.0.0.1:80", "10.0.0.4:80"))
+		})
+
+		// Guards against an answer without an address when a zone has lost its instances.
+		It("names the others when the zone has none", func() {
+			r := fleet.NewRoster(member(0))
+			r.Replace(now, []fleet.Member{member(0), member(3), member(1)})
+			Expect(r.Addresses("az-2", true)).To(HaveLen(3))
+		})
+
+		// Guards against callers that are sent to an instance that is stopping.
+		It("leaves this instance out while it does not serve", func() {
+			r := fleet.NewRoster(member(0))
+			r.Replace(now, members(6))
+			Expect(r.Addresses("az-0", false)).To(ConsistOf("10.0.0.3:80"))
+		})
+	})
+
+	Describe("Pace", func() {
+		bound := fleet.ColdBound{PerSecond: 3.5, Overshoot: 1.5, Slack: 5}
+
+		// perSecond is the most requests that instances send in any span of a second.
+		perSecond := func(count int, target string) int {
+			total := 0
+			for i := range count {
+				r := fleet.NewRoster(member(i))
+				r.Replace(now, members(count))
+				if pace := r.Pace(target, bound); pace >= 0 {
+					total += int(time.Second/pace) + 1
+				}
+			}
+			return total
+		}
+
+		// Guards against a cold target that falls over because each of many
+		// instances sends it a little.
+		It("keeps all instances together within the bound", func() {
+			for _, count := range []int{1, 2, 5, 7, 8, 9, 48, 300} {
+				for t := range 20 {
+					Expect(perSecond(count, fmt.Sprint("t", t))).To(BeNumerically("<=", 10), "%d instances", count)
+				}
+			}
+		})
+
+		// Guards against a cold target that no instance sends work to.
+		It("lets some instance send to every target", func() {
+			for t := range 50 {
+				Expect(perSecond(48, fmt.Sprint("t", t))).To(BeNumerically(">=", 1))
+			}
+		})
+
+		// Guards against shares that grow because an instance lost touch with the
+		// store while it goes on serving.
+		It("keeps the share of an instance that has gone for a while", func() {
+			r := fleet.NewRoster(member(0))
+			r.Replace(now, members(7))
+			before := r.Pace("t", bound)
+			r.Replace(now.Add(10*time.Second), members(2))
+			Expect(r.Pace("t", bound)).To(Equal(before))
+		})
+	})
+})
--- a/httpapi/terms.go
+++ b/httpapi/terms.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/contract"
+	"fulmarhoist.example/hop"
 	"fulmarhoist.example/service"
 )
 
@@ -139,31 +139,9 @@
 	return number, nil
 }
 
-// hopByHop lists headers that are meant for one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
 // passOn returns the headers that pass through, without those of one connection
 // and those of the product.
-func passOn(header http.Header) http.Header {
-	passed := make(http.Header, len(header))
-	for name, values := range header {
-		if !strings.HasPrefix(name, headerPrefix) {
-			passed[name] = values
-		}
-	}
-	for _, connection := range header["Connection"] {
-		for name := range strings.SplitSeq(connection, ",") {
-			passed.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		passed.Del(name)
-	}
-	return passed
-}
+func passOn(header http.Header) http.Header { return hop.PassOn(header, headerPrefix) }
 
 // demandOf orders waiting requests: interactive ones go first, uploads are kept
 // once they wait, and requests that may wait go first after half of their
--- /dev/null
+++ b/node/membership.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fulmarhoist.example/feed"
+	"fulmarhoist.example/fleet"
+)
+
+// Group is the store's group of the entry instances.
+type Group interface {
+	// Join joins the group or stays in it for the given lifetime. The generation
+	// that it returns grows with each change of the members.
+	Join(ctx context.Context, m fleet.Member, ttl time.Duration, generation uint64) (uint64, error)
+	Leave(ctx context.Context, m fleet.Member) error
+	Members(ctx context.Context) ([]fleet.Member, error)
+}
+
+const (
+	// joinInterval and joinTTL let an instance that ended go from the directory
+	// within about 3.5 s, and allow for one lost call.
+	joinInterval = 800 * time.Millisecond
+	joinTTL      = 2500 * time.Millisecond
+	// leaveTries is how often a leaving instance tells the store.
+	leaveTries = 3
+)
+
+// membership keeps this instance in the group and the roster up to date.
+type membership struct {
+	self   fleet.Member
+	group  Group
+	roster *fleet.Roster
+	health *feed.Health
+	ttl    time.Duration
+	logger zerolog.Logger
+
+	generation uint64
+}
+
+// run joins until the context ends, then leaves.
+func (m *membership) run(ctx context.Context) {
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for {
+		m.step(ctx)
+		select {
+		case <-ctx.Done():
+			m.leave()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *membership) step(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, joinInterval+joinTTL/2)
+	defer cancel()
+	generation, err := m.group.Join(ctx, m.self, m.ttl, m.generation)
+	if err != nil {
+		m.report(err)
+		return
+	}
+	m.health.Succeeded()
+	if generation == m.generation {
+		return
+	}
+	settled, err := m.refresh(ctx)
+	if err != nil {
+		m.report(err)
+		return
+	}
+	if settled {
+		m.generation = generation
+	}
+}
+
+func (m *membership) report(err error) {
+	if m.health.Failed(time.Now()) {
+		m.logger.Warn().Str("event", "store_lost").Err(err).Msg("store does not answer")
+	}
+}
+
+// refresh reads the members. Soon after an outage those that have not returned yet
+// stay, and the result is false: the members have to be read again.
+func (m *membership) refresh(ctx context.Context) (settled bool, err error) {
+	members, err := m.group.Members(ctx)
+	if err != nil {
+		return false, fmt.Errorf("read the members: %w", err)
+	}
+	now := time.Now()
+	settled = !m.health.Settling(now)
+	if !settled {
+		members = append(members, m.roster.View().Members...)
+	}
+	if m.roster.Replace(now, members) {
+		m.logger.Info().Str("event", "members_changed").Int("members", len(m.roster.View().Members)).
+			Int("peak", m.roster.View().Peak).Msg("entry instances changed")
+	}
+	return settled, nil
+}
+
+// leave tells the store that this instance is leaving, so that no caller is sent
+// to it any more.
+func (m *membership) leave() {
+	for range leaveTries {
+		ctx, cancel := context.WithTimeout(context.Background(), joinInterval)
+		err := m.group.Leave(ctx, m.self)
+		cancel()
+		if err == nil {
+			return
+		}
+		m.logger.Warn().Str("event", "leave_failed").Err(err).Msg("store was not told that this instance leaves")
+	}
+}
--- /dev/null
+++ b/node/wiring.go
@@ -0,0 +1,180 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace/noop"
+	"go.uber.org/dig"
+
+	"fulmarhoist.example/contract"
+	"fulmarhoist.example/feed"
+	"fulmarhoist.example/fleet"
+	"fulmarhoist.example/gateway"
+	"fulmarhoist.example/ingress"
+	"fulmarhoist.example/registry"
+	"fulmarhoist.example/routing"
+	"fulmarhoist.example/scout"
+	"fulmarhoist.example/service"
+	"fulmarhoist.example/targetconn"
+	"fulmarhoist.example/telemetry"
+)
+
+// Headers reads and writes the headers of callers and targets.
+type Headers interface {
+	gateway.Protocol
+	targetconn.Protocol
+	scout.Protocol
+}
+
+const (
+	// remoteRoundTrip is the time to another availability zone and back where the
+	// settings give none. It only orders targets.
+	remoteRoundTrip = 3 * time.Millisecond
+	// queueLimit is how many requests of one service may wait in this instance.
+	queueLimit = 256
+	// connectionShare is the part of the file descriptors for callers.
+	connectionShare = 0.5
+	// retryMargin leaves a part of the budget for repeats unused, since the
+	// instances count in windows of their own.
+	retryMargin = 0.8
+	// expectedMembers shares the fixed part of the budget before the members of
+	// the fleet are known.
+	expectedMembers = 8
+)
+
+// providers returns the constructors of all parts.
+func providers(settings *Settings, platform *Platform, logs io.Writer) []any {
+	return []any{
+		func() *Settings { return settings },
+		func() *Platform { return platform },
+		func() (zerolog.Logger, error) {
+			logger, err := telemetry.NewLogger(logs, "info", settings.Instance)
+			if err != nil {
+				return logger, fmt.Errorf("make the logger: %w", err)
+			}
+			return logger, nil
+		},
+		telemetry.NewMetrics,
+		contract.NewFingerprints,
+		func() *feed.Health { return &feed.Health{} },
+		func() *gateway.Stop { return &gateway.Stop{Grace: settings.Bounds.Grace} },
+		newTables, newRoster, newRegistry, newPools, newScout, newSender, newGateway, newServer, newApplier, newMembership, newNode,
+	}
+}
+
+func selfOf(s *Settings) fleet.Member {
+	return fleet.Member{Name: s.Instance, Zone: s.Zone, Address: s.Callers}
+}
+
+func newRoster(s *Settings) *fleet.Roster { return fleet.NewRoster(selfOf(s)) }
+
+func newRegistry(s *Settings, roster *fleet.Roster) *registry.Registry {
+	percent := int(math.Floor(100 * s.Bounds.RetryRatio * retryMargin))
+	minimum := int(s.Bounds.RetryExtra * retryMargin / expectedMembers)
+	return registry.New(registry.Terms{
+		OwnZone: s.Zone, RemoteRoundTrip: remoteRoundTrip, QueueLimit: queueLimit,
+		Retries: func() *service.RetryBudget { return service.NewRetryBudgetWithMinimum(percent, minimum) },
+		Pace: func(targetID string, spec *routing.Service) time.Duration {
+			return roster.Pace(targetID, fleet.ColdBound{
+				PerSecond: spec.ColdPerSecond, Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack,
+			})
+		},
+	})
+}
+
+func newPools(metrics *telemetry.Metrics) *targetconn.Pools {
+	pools := targetconn.NewPools()
+	pools.Opened = metrics.Counter("fulmarhoist_target_connections_opened_total").Inc
+	return pools
+}
+
+func newScout(p *Platform, pools *targetconn.Pools, g *tables, metrics *telemetry.Metrics) *scout.Scout {
+	return &scout.Scout{
+		Pools: pools, Protocol: p.Headers, HealthPath: g.healthPath,
+		Probed: metrics.Counter("fulmarhoist_probes_total").Inc,
+	}
+}
+
+func newSender(p *Platform, pools *targetconn.Pools, logger zerolog.Logger) *targetconn.Sender {
+	return &targetconn.Sender{Pools: pools, Protocol: p.Headers, Logger: logger}
+}
+
+// gatewayParts is what a gateway is made of.
+type gatewayParts struct {
+	dig.In
+
+	Settings *Settings
+	Platform *Platform
+	Registry *registry.Registry
+	Sender   *targetconn.Sender
+	Scout    *scout.Scout
+	Crashes  *contract.Fingerprints
+	Metrics  *telemetry.Metrics
+	Logger   zerolog.Logger
+	Stop     *gateway.Stop
+	Tables   *tables
+}
+
+func newGateway(p gatewayParts) *gateway.Gateway {
+	return &gateway.Gateway{
+		Instance: p.Settings.Instance, Protocol: p.Platform.Headers, Services: p.Registry, Sender: p.Sender,
+		Chooser: p.Scout, Crashes: p.Crashes, Tracer: noop.NewTracerProvider().Tracer("fulmarhoist"),
+		Metrics: p.Metrics, Logger: p.Logger, Stop: p.Stop, Tables: &p.Tables.Tables,
+	}
+}
+
+func newServer(s *Settings, g *gateway.Gateway, t *tables) *ingress.Server {
+	return &ingress.Server{Handler: g, Limits: t.limits, MaxConnections: int(s.MaxFiles * connectionShare)}
+}
+
+// applierParts is what an applier is made of.
+type applierParts struct {
+	dig.In
+
+	Platform *Platform
+	Registry *registry.Registry
+	Tables   *tables
+	Pools    *targetconn.Pools
+	Health   *feed.Health
+	Logger   zerolog.Logger
+}
+
+func newApplier(p applierParts) *applier {
+	return &applier{
+		topics: p.Platform.Topics, records: p.Platform.Records, registry: p.Registry, tables: p.Tables, pools: p.Pools,
+		health: p.Health, logger: p.Logger, events: make(chan feed.Event), ready: make(chan struct{}),
+	}
+}
+
+func newMembership(s *Settings, p *Platform, roster *fleet.Roster, health *feed.Health, logger zerolog.Logger) *membership {
+	return &membership{
+		self: selfOf(s), group: p.Group, roster: roster, health: health, ttl: max(joinTTL, s.LeastTTL), logger: logger,
+	}
+}
+
+// nodeParts is what a node is made of.
+type nodeParts struct {
+	dig.In
+
+	Settings   *Settings
+	Platform   *Platform
+	Logger     zerolog.Logger
+	Metrics    *telemetry.Metrics
+	Roster     *fleet.Roster
+	Health     *feed.Health
+	Applier    *applier
+	Membership *membership
+	Server     *ingress.Server
+	Stop       *gateway.Stop
+}
+
+func newNode(p nodeParts) *Node {
+	return &Node{
+		settings: p.Settings, platform: p.Platform, logger: p.Logger, metrics: p.Metrics, roster: p.Roster,
+		health: p.Health, applier: p.Applier, membership: p.Membership, server: p.Server, stop: p.Stop,
+	}
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,97 @@
+package routing_test
+
+import (
+	"errors"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/routing"
+)
+
+func TestRouting(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "routing")
+}
+
+func route(host, prefix string, shares ...routing.Share) routing.Route {
+	return routing.Route{Name: host + prefix, Host: host, Prefix: prefix, Kind: routing.KindOnce, Shares: shares}
+}
+
+func table(routes ...routing.Route) *routing.Table {
+	return routing.NewTable(&routing.Config{Version: 1, Routes: routes}, 7)
+}
+
+var _ = Describe("Table", func() {
+	// Guards against a request that goes to the service of a shorter prefix.
+	It("prefers the longest prefix of the host", func() {
+		t := table(
+			route("a.example", "/x/", routing.Share{Service: "short", Weight: 1}),
+			route("a.example", "/x/y/", routing.Share{Service: "long", Weight: 1}),
+			route("b.example", "/x/y/z/", routing.Share{Service: "other", Weight: 1}),
+		)
+		found, ok := t.Match("a.example", "/x/y/z/1")
+		Expect(ok).To(BeTrue())
+		Expect(found.Service).To(Equal("long"))
+		found, ok = t.Match("A.example:8080", "/x/1")
+		Expect(ok).To(BeTrue())
+		Expect(found.Service).To(Equal("short"))
+	})
+
+	// Guards against a prefix that matches part of a path segment or another host.
+	It("finds no route where none matches", func() {
+		t := table(route("a.example", "/x/", routing.Share{Service: "short", Weight: 1}))
+		for _, request := range [][2]string{{"a.example", "/xy"}, {"a.example", "/x"}, {"c.example", "/x/1"}} {
+			_, ok := t.Match(request[0], request[1])
+			Expect(ok).To(BeFalse(), "%v", request)
+		}
+	})
+
+	// Guards against a share that drifts from its weight over a few requests.
+	It("splits requests by weight within any full cycle", func() {
+		t := table(route("a.example", "/", routing.Share{Service: "a", Weight: 90}, routing.Share{Service: "b", Weight: 10}))
+		counts := map[string]int{}
+		for range 200 {
+			found, _ := t.Match("a.example", "/1")
+			counts[found.Service]++
+		}
+		Expect(counts).To(Equal(map[string]int{"a": 180, "b": 20}))
+	})
+
+	// Guards against work for a part that has been given no weight.
+	It("sends nothing to a part of weight 0", func() {
+		t := table(route("a.example", "/", routing.Share{Service: "a", Weight: 0}, routing.Share{Service: "b", Weight: 5}))
+		for range 10 {
+			found, _ := t.Match("a.example", "/1")
+			Expect(found.Service).To(Equal("b"))
+		}
+	})
+})
+
+var _ = Describe("Validate", func() {
+	valid := func() *routing.Config {
+		return &routing.Config{
+			Version:  3,
+			Routes:   []routing.Route{route("a.example", "/x/", routing.Share{Service: "s", Weight: 1})},
+			Services: []routing.Service{{Name: "s"}},
+		}
+	}
+
+	It("accepts a whole configuration", func() { Expect(valid().Validate()).To(Succeed()) })
+
+	// Guards against a broken record that takes the place of a good configuration.
+	DescribeTable("refuses a configuration that could serve nothing",
+		func(spoil func(*routing.Config)) {
+			c := valid()
+			spoil(c)
+			var problem *routing.ConfigError
+			Expect(errors.As(c.Validate(), &problem)).To(BeTrue())
+		},
+		Entry("unknown service", func(c *routing.Config) { c.Services = nil }),
+		Entry("no share", func(c *routing.Config) { c.Routes[0].Shares = nil }),
+		Entry("unknown kind", func(c *routing.Config) { c.Routes[0].Kind = 0 }),
+		Entry("no host", func(c *routing.Config) { c.Routes[0].Host = "" }),
+		Entry("relative prefix", func(c *routing.Config) { c.Routes[0].Prefix = "x/" }),
+	)
+})
--- a/service/budget.go
+++ b/service/budget.go
@@ -11,8 +11,8 @@
 	// budgetSeconds is the length of the window over which retries are compared
 	// with requests, in buckets of 1 s.
 	budgetSeconds = 10
-	// minimumRetries may be spent per window at any load, so that a service
-	// with few requests can retry at all.
+	// minimumRetries may be spent per window at any load by default, so that a
+	// service with few requests can retry at all.
 	minimumRetries = 3
 )
 
@@ -21,6 +21,7 @@
 // granted retry satisfies the bound at the time it is granted. Times that go
 // back count as the latest time seen.
 type RetryBudget struct {
+	minimum  uint64
 	percent  atomic.Uint64
 	latest   atomic.Int64                 // newest second seen
 	requests [budgetSeconds]atomic.Uint64 // second (upper half) and count
@@ -38,7 +39,13 @@
 
 // NewRetryBudget returns a budget of the given percentage of requests.
 func NewRetryBudget(percent int) *RetryBudget {
-	b := &RetryBudget{}
+	return NewRetryBudgetWithMinimum(percent, minimumRetries)
+}
+
+// NewRetryBudgetWithMinimum returns a budget that allows the given number of
+// retries in each window at any load.
+func NewRetryBudgetWithMinimum(percent, minimum int) *RetryBudget {
+	b := &RetryBudget{minimum: uint64(max(0, minimum))}
 	b.retries.Store(&spentRetries{})
 	b.SetPercent(percent)
 	return b
@@ -75,7 +82,7 @@
 	for {
 		old := b.retries.Load()
 		next := old.at(max(second, old.second))
-		if (next.total()+1)*100 > minimumRetries*100+percent*b.served(next.second) {
+		if (next.total()+1)*100 > b.minimum*100+percent*b.served(next.second) {
 			return false
 		}
 		granted := next // a copy, so that a refusal allocates nothing
--- a/target/target.go
+++ b/target/target.go
@@ -93,6 +93,27 @@
 	process   atomic.Pointer[process]
 	ended     atomic.Pointer[endedGeneration]
 	coldUntil atomic.Int64 // work for a cold target may start before this time, monotime nanoseconds
+
+	coolUntil atomic.Int64 // the server says it is cold until then, monotime nanoseconds
+	pace      atomic.Int64 // least time between permits while it is cold, nanoseconds
+	pacedAt   atomic.Int64 // no permit for the cold server before, monotime nanoseconds
+
+	report        atomic.Pointer[observed]
+	usualSlowdown atomic.Uint64 // average of the reported slowdowns, as float64 bits
+	usualOthers   atomic.Uint64 // average of the others' requests inside, as float64 bits
+	askedAt       atomic.Int64  // unanswered question for a report, monotime nanoseconds; 0 if none
+	failing       atomic.Uint64 // smoothed share of failed requests, as float64 bits
+}
+
+// average moves a value towards a new one by the given weight.
+func average(value *atomic.Uint64, next, weight float64) {
+	for {
+		old := value.Load()
+		mean := math.Float64frombits(old)
+		if value.CompareAndSwap(old, math.Float64bits(mean+weight*(next-mean))) {
+			return
+		}
+	}
 }
 
 // defaultServiceTime is the estimate before the first answer.
@@ -117,6 +138,14 @@
 	return t
 }
 
+// NewWarm returns a target that admits up to the given limit at once. Whether its
+// server is cold is told by CoolFor.
+func NewWarm(spec Spec, limit int) *Target {
+	t := newAt(spec, 1)
+	t.Transition(1, StateWarm, limit)
+	return t
+}
+
 // State returns the state and the generation it belongs to.
 func (t *Target) State() (State, uint32) {
 	w := word(t.word.Load())
@@ -134,11 +163,16 @@
 	if monotime.Nanos(now) < t.blockedTo.Load() {
 		return Permit{}, false
 	}
+	paced := false
 	for {
 		w := word(t.word.Load())
 		if w.inFlight() >= w.limit() || !t.allows(w, now) {
 			return Permit{}, false
 		}
+		if !paced && !t.takePace(now) {
+			return Permit{}, false
+		}
+		paced = true
 		if t.word.CompareAndSwap(uint64(w), uint64(w+1)) {
 			return Permit{Target: t, Generation: w.generation()}, true
 		}
@@ -276,14 +310,7 @@
 func (t *Target) Answered(took time.Duration) {
 	t.answers.Add(1)
 	t.failures.Store(0)
-	for {
-		old := t.service.Load()
-		mean := math.Float64frombits(old)
-		next := mean + smoothing*(took.Seconds()-mean)
-		if t.service.CompareAndSwap(old, math.Float64bits(next)) {
-			return
-		}
-	}
+	average(&t.service, took.Seconds(), smoothing)
 }
 
 // Answers returns the number of whole answers so far.
@@ -369,13 +396,7 @@
 		passed := max(0, time.Duration(monotime.Nanos(now)-last))
 		weight = 1 - math.Exp2(-passed.Seconds()/halfLife.Seconds())
 	}
-	for {
-		old := t.peerLoad.Load()
-		mean := math.Float64frombits(old)
-		if t.peerLoad.CompareAndSwap(old, math.Float64bits(mean+weight*(inFlight-mean))) {
-			return
-		}
-	}
+	average(&t.peerLoad, inFlight, weight)
 }
 
 // ExpectedDelay estimates the response time of one more request.
@@ -396,5 +417,5 @@
 // when it is used; only Admit decides.
 func (t *Target) Admits(now time.Time) bool {
 	w := word(t.word.Load())
-	return w.inFlight() < w.limit() && t.allows(w, now) && monotime.Nanos(now) >= t.blockedTo.Load()
+	return w.inFlight() < w.limit() && t.allows(w, now) && t.paced(now) && monotime.Nanos(now) >= t.blockedTo.Load()
 }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -95,3 +95,10 @@
 func (m *Metrics) Settled(service string, outcome contract.Outcome) {
 	m.of(service).outcomes[outcome].Inc()
 }
+
+// Served counts an answer to a caller by route and result, with the time from the
+// end of the request to the answer.
+func (m *Metrics) Served(route, result string, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`fulmarhoist_served_total{route=%q,result=%q}`, route, result)).Inc()
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`fulmarhoist_served_seconds{route=%q}`, route)).Update(took.Seconds())
+}
