Reload settings on SIGHUP; give up waiting reads when the store is lost

Change: SIGHUP and a timer read the settings again and bounds take effect; all followers share the health of the store, give up a waiting read when any call fails, and ask with short waits until the store answers.

--- a/cmd/fulmarhoistd/entry.go
+++ b/cmd/fulmarhoistd/entry.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/rs/zerolog/diode"
 	"github.com/spf13/cobra"
@@ -28,6 +30,10 @@
 const logBuffer = 2048
 
 func runEntry(cmd *cobra.Command, _ []string) error {
+	// The platform sends SIGHUP when the settings change; without a handler it
+	// would end the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	settings, err := platform.LoadSettings(platform.SettingsPath())
 	if err != nil {
 		return err
@@ -38,5 +44,5 @@
 	if err != nil {
 		return err
 	}
-	return n.Run(cmd.Context())
+	return n.Run(cmd.Context(), hangup)
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,21 +57,54 @@
 // one process share it. It is safe for concurrent use.
 type Health struct {
 	failedAt atomic.Int64 // monotime nanoseconds; 0 if no call failed yet
-	down     atomic.Bool
+
+	mu   sync.Mutex
+	down bool
+	lost chan struct{} // closed while the store seems down
 }
 
+// NewHealth returns the health of a store that seems up.
+func NewHealth() *Health { return &Health{lost: make(chan struct{})} }
+
 // Failed records a call without a usable answer. It tells whether the store
 // seemed up before.
 func (h *Health) Failed(now time.Time) (lost bool) {
 	h.failedAt.Store(monotime.Nanos(now))
-	return !h.down.Swap(true)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.down {
+		return false
+	}
+	h.down = true
+	close(h.lost)
+	return true
 }
 
 // Succeeded records an answer and tells whether the store seemed down before.
-func (h *Health) Succeeded() (regained bool) { return h.down.Swap(false) }
+func (h *Health) Succeeded() (regained bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.down {
+		return false
+	}
+	h.down = false
+	h.lost = make(chan struct{})
+	return true
+}
 
 // Down tells whether the last call failed.
-func (h *Health) Down() bool { return h.down.Load() }
+func (h *Health) Down() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.down
+}
+
+// Lost returns a channel that is closed when the store seems down.
+func (h *Health) Lost() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lost
+}
 
 // Settling tells whether what the store shows may be the effect of an outage.
 func (h *Health) Settling(now time.Time) bool {
@@ -111,6 +145,10 @@
 	listTimeout = 3 * time.Second
 	// readMargin is how much longer than its wait a read may take.
 	readMargin = 2 * time.Second
+	// downWait and downMargin take their place while the store seems down, so that
+	// its return is noticed soon.
+	downWait   = 200 * time.Millisecond
+	downMargin = 800 * time.Millisecond
 )
 
 // Run follows the topic until the context ends.
@@ -158,15 +196,33 @@
 		}
 		return Event{Topic: f.Topic, Records: batch.Records, Listing: true}, batch.Next, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+readMargin)
-	defer cancel()
-	batch, err := f.Log.Read(ctx, f.Topic, next, f.Wait)
+	batch, err := f.read(ctx, next)
 	if err != nil {
 		return Event{}, 0, fmt.Errorf("read topic %s: %w", f.Topic, err)
 	}
 	return Event{Topic: f.Topic, Records: batch.Records}, batch.Next, nil
 }
 
+// read waits for records. When another call finds the store down, the read is
+// given up: it may wait for an answer that never comes.
+func (f *Follower) read(ctx context.Context, next uint64) (Batch, error) {
+	wait, margin := f.Wait, readMargin
+	lost := f.Health.Lost()
+	if f.Health.Down() {
+		wait, margin, lost = downWait, downMargin, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+margin)
+	defer cancel()
+	go func() {
+		select {
+		case <-lost:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return f.Log.Read(ctx, f.Topic, next, wait)
+}
+
 // sleep waits, or returns when the context ends.
 func sleep(ctx context.Context, length time.Duration) {
 	if length <= 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 	Group   Group
 	Records Records
 	Headers Headers
+	// Settings reads the settings again.
+	Settings func() (*Settings, error)
 	// Ready and Directory make the handlers that the platform and callers ask.
 	Ready     func(*Node) http.Handler
 	Directory func(*Node) http.Handler
@@ -36,6 +39,7 @@
 // Node is one running entry instance.
 type Node struct {
 	settings   *Settings
+	bounds     *currentBounds
 	platform   *Platform
 	logger     zerolog.Logger
 	metrics    *telemetry.Metrics
@@ -96,11 +100,12 @@
 // Addresses returns where a caller in the given zone may connect, and for how long
 // it may keep the answer.
 func (n *Node) Addresses(zone string) ([]string, time.Duration) {
-	return n.roster.Addresses(zone, n.Ready()), min(directoryTTL, n.settings.Bounds.DirectoryTTL)
+	return n.roster.Addresses(zone, n.Ready()), min(directoryTTL, n.bounds.Load().DirectoryTTL)
 }
 
-// Run serves until the context ends, then stops gracefully.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until the context ends, then stops gracefully. A value on reload says
+// that the settings may have changed.
+func (n *Node) Run(ctx context.Context, reload <-chan os.Signal) error {
 	listeners, err := n.listen()
 	if err != nil {
 		return err
@@ -115,6 +120,7 @@
 	}
 	var joined sync.WaitGroup
 	joined.Go(func() { n.join(ctx, work) })
+	group.Go(func() { n.watchSettings(work, reload) })
 	servers := n.serveControl(listeners)
 	failed := make(chan error, 1)
 	go func() { failed <- n.server.Serve(listeners[n.settings.Callers]) }()
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -60,9 +60,9 @@
 		},
 		telemetry.NewMetrics,
 		contract.NewFingerprints,
-		func() *feed.Health { return &feed.Health{} },
+		feed.NewHealth,
 		func() *gateway.Stop { return &gateway.Stop{Grace: settings.Bounds.Grace} },
-		newTables, newRoster, newRegistry, newPools, newScout, newSender, newGateway, newServer, newApplier, newMembership, newNode,
+		newTables, newBounds, newRoster, newRegistry, newPools, newScout, newSender, newGateway, newServer, newApplier, newMembership, newNode,
 	}
 }
 
@@ -72,15 +72,16 @@
 
 func newRoster(s *Settings) *fleet.Roster { return fleet.NewRoster(selfOf(s)) }
 
-func newRegistry(s *Settings, roster *fleet.Roster) *registry.Registry {
+func newRegistry(s *Settings, bounds *currentBounds, roster *fleet.Roster) *registry.Registry {
 	percent := int(math.Floor(100 * s.Bounds.RetryRatio * retryMargin))
 	minimum := int(s.Bounds.RetryExtra * retryMargin / expectedMembers)
 	return registry.New(registry.Terms{
 		OwnZone: s.Zone, RemoteRoundTrip: remoteRoundTrip, QueueLimit: queueLimit,
 		Retries: func() *service.RetryBudget { return service.NewRetryBudgetWithMinimum(percent, minimum) },
 		Pace: func(targetID string, spec *routing.Service) time.Duration {
+			now := bounds.Load()
 			return roster.Pace(targetID, fleet.ColdBound{
-				PerSecond: spec.ColdPerSecond, Overshoot: s.Bounds.ColdOvershoot, Slack: s.Bounds.ColdSlack,
+				PerSecond: spec.ColdPerSecond, Overshoot: now.ColdOvershoot, Slack: now.ColdSlack,
 			})
 		},
 	})
@@ -161,6 +162,7 @@
 	dig.In
 
 	Settings   *Settings
+	Bounds     *currentBounds
 	Platform   *Platform
 	Logger     zerolog.Logger
 	Metrics    *telemetry.Metrics
@@ -174,7 +176,7 @@
 
 func newNode(p nodeParts) *Node {
 	return &Node{
-		settings: p.Settings, platform: p.Platform, logger: p.Logger, metrics: p.Metrics, roster: p.Roster,
+		settings: p.Settings, bounds: p.Bounds, platform: p.Platform, logger: p.Logger, metrics: p.Metrics, roster: p.Roster,
 		health: p.Health, applier: p.Applier, membership: p.Membership, server: p.Server, stop: p.Stop,
 	}
 }
