--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -135,7 +135,7 @@
 		return false
 	}
 	limits := c.server.Limits()
-	c.limited.left = int64(limits.HeaderBytes + headerSlack)
+	c.limited.left = int64(limits.HeaderBytes + headerSlack - c.reader.Buffered())
 	_ = c.raw.SetReadDeadline(deadline(limits.HeaderTimeout))
 	parsed, err := http.ReadRequest(c.reader)
 	c.limited.left = unlimited
--- /dev/null
+++ b/node/rig_test.go
@@ -0,0 +1,237 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/internal/standin/keyedstore"
+	"fulmarhoist.example/node"
+	"fulmarhoist.example/platform"
+)
+
+func TestNode(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "node")
+}
+
+// backend is a stand-in for a target of the platform.
+type backend struct {
+	id     string
+	server *httptest.Server
+	runs   sync.Map // request id to *atomic.Int32
+	total  atomic.Int32
+	// run is called while a request runs; it returns false to break the connection.
+	run  atomic.Pointer[func(r *http.Request) bool]
+	shed atomic.Bool
+}
+
+func newBackend(id string) *backend {
+	b := &backend{id: id}
+	b.server = httptest.NewServer(b)
+	DeferCleanup(b.server.Close)
+	return b
+}
+
+func (b *backend) address() string { return strings.TrimPrefix(b.server.URL, "http://") }
+
+func (b *backend) during(run func(r *http.Request) bool) { b.run.Store(&run) }
+
+// ServeHTTP speaks the platform's protocol of servers.
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set("X-Fulmarhoist-Server-Load", "0,0,2,100")
+	h.Set("X-Fulmarhoist-Instance-Id", b.id)
+	if r.URL.Path == "/health" {
+		h.Set("X-Fulmarhoist-Warmup-Ms", "0")
+		return
+	}
+	id := r.Header.Get("X-Fulmarhoist-Request-Id")
+	h.Set("X-Fulmarhoist-Request-Id", id)
+	if expected := r.Header.Get("X-Fulmarhoist-Expected-Instance"); expected != b.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if b.shed.Load() {
+		h.Set("X-Fulmarhoist-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	count, _ := b.runs.LoadOrStore(id, &atomic.Int32{})
+	count.(*atomic.Int32).Add(1)
+	b.total.Add(1)
+	if run := b.run.Load(); run != nil && !(*run)(r) {
+		panic(http.ErrAbortHandler)
+	}
+	h.Set("X-Fulmarhoist-Server-Signature", "signed."+b.id)
+	_, _ = fmt.Fprintf(w, "%s %s %d", r.Method, r.RequestURI, len(body))
+}
+
+// rig is a store with targets and entry instances.
+type rig struct {
+	store   *keyedstore.Store
+	address string
+	version int
+	ids     atomic.Int64
+}
+
+func newRig() *rig {
+	r := &rig{store: keyedstore.New()}
+	server := httptest.NewServer(r.store.Handler())
+	DeferCleanup(server.Close)
+	DeferCleanup(server.CloseClientConnections)
+	r.address = strings.TrimPrefix(server.URL, "http://")
+	return r
+}
+
+// configure publishes a configuration with a repeatable route /get/, a route
+// /once/ whose requests run at most once, and the given further routes.
+func (r *rig) configure(further ...string) {
+	r.version++
+	route := func(prefix, kind string) map[string]any {
+		return map[string]any{
+			"name": prefix, "host": "a.example", "path_prefix": prefix, "kind": kind, "timeout_ms": 2000,
+			"target_latency_ms": 300, "priority": 1, "service": "orders", "max_attempts": 2,
+		}
+	}
+	routes := []any{route("/get/", "idempotent"), route("/once/", "non_idempotent")}
+	for _, prefix := range further {
+		routes = append(routes, route(prefix, "idempotent"))
+	}
+	r.store.Put("keyed.op", "config", map[string]any{
+		"version": r.version, "routes": routes,
+		"services": []any{map[string]any{
+			"name": "orders", "health_path": "/health", "max_conns": 100, "warmup_s": 0.5, "warmup_per_s": 50,
+		}},
+		"limits": map[string]any{
+			"max_header_bytes": 16384, "max_body_bytes": 8 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+		},
+	})
+}
+
+// register writes the entry of a target.
+func (r *rig) register(b *backend, state string, sequence int) {
+	r.store.Put("keyed.servers", b.id, map[string]any{
+		"address": b.address(), "born": 1790000000000,
+		"info":   map[string]any{"service": "orders", "version": "v1", "zone": "az-1", "slots": 2},
+		"status": map[string]any{"state": state, "seq": sequence, "warmup_left_ms": 0},
+	})
+}
+
+// instance is a running entry instance.
+type instance struct {
+	settings *node.Settings
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+// start runs an entry instance at the given loopback address.
+func (r *rig) start(number int) *instance {
+	address := fmt.Sprintf("127.0.0.%d", number)
+	s := &node.Settings{
+		Instance: fmt.Sprintf("entry-%d", number), Zone: "az-1", Region: "r", Address: address, MaxFiles: 1000,
+		Callers: freePort(address), Ready: freePort(address), Directory: freePort(address), Store: r.address,
+		StorePartitions: 12, LeastTTL: time.Second,
+		Bounds: node.Bounds{
+			Grace: 2 * time.Second, DirectoryTTL: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 64, ColdOvershoot: 1, ColdSlack: 5,
+		},
+	}
+	p := platform.New(s)
+	p.Settings = func() (*node.Settings, error) { return s, nil }
+	n, err := node.New(s, p, GinkgoWriter)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	i := &instance{settings: s, stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer GinkgoRecover()
+		defer close(i.done)
+		Expect(n.Run(ctx, make(chan os.Signal))).To(Succeed())
+	}()
+	DeferCleanup(func() { cancel(); Eventually(i.done, "5s").Should(BeClosed()) })
+	Eventually(func() error {
+		conn, err := net.Dial("tcp", s.Callers)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	}).Should(Succeed())
+	return i
+}
+
+func freePort(address string) string {
+	listener, err := net.Listen("tcp", address+":0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (i *instance) ready() int {
+	response, err := http.Get("http://" + i.settings.Ready + "/v1/ready")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func (i *instance) addresses(zone string) []string {
+	response, err := http.Get("http://" + i.settings.Directory + "/v1/resolve?name=a.example&region=r&zone=" + zone)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttl_s"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&answer)
+	return answer.Addresses
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	id     string
+	err    error
+}
+
+// send sends a request on a connection of its own.
+func (r *rig) send(ctx context.Context, i *instance, method, path, body string) reply {
+	id := fmt.Sprintf("%016x", r.ids.Add(1))
+	request, _ := http.NewRequestWithContext(ctx, method, "http://"+i.settings.Callers+path, strings.NewReader(body))
+	request.Host = "a.example"
+	request.Header.Set("X-Fulmarhoist-Request-Id", id)
+	request.Header.Set("X-Fulmarhoist-Deadline-Ms", "1500")
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return reply{err: err, id: id}
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header, string(data), id, err}
+}
+
+func (b *backend) ran(id string) int {
+	count, found := b.runs.Load(id)
+	if !found {
+		return 0
+	}
+	return int(count.(*atomic.Int32).Load())
+}
--- /dev/null
+++ b/target/report_test.go
@@ -0,0 +1,103 @@
+package target_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"fulmarhoist.example/target"
+)
+
+var _ = Describe("Reports", func() {
+	var t *target.Target
+	now := time.Now()
+	at := func(d time.Duration) time.Time { return now.Add(d) }
+
+	BeforeEach(func() { t = target.NewWarm(target.Spec{Name: "orders-1", Slots: 2, Links: 3}, 3) })
+
+	// Guards against work for a server whose machine is slow at this moment.
+	It("makes a slow machine costly while the report is new", func() {
+		t.Observe(now, target.Report{Slots: 2, Slowdown: 1})
+		t.Observe(at(time.Second), target.Report{Slots: 2, Slowdown: 5})
+		fresh := t.RelativeDelay(at(time.Second))
+		old := t.RelativeDelay(at(3 * time.Second))
+		Expect(fresh).To(BeNumerically("~", 5, 0.1))
+		Expect(old).To(And(BeNumerically(">", 1), BeNumerically("<", 4)))
+	})
+
+	// Guards against a server that counts as free because its load is of others.
+	It("counts the requests of other instances", func() {
+		t.Observe(now, target.Report{Running: 2, Waiting: 2, Slots: 2, Slowdown: 1})
+		Expect(t.RelativeDelay(now)).To(BeNumerically(">", 2))
+		Expect(t.Crowded(now)).To(BeTrue())
+	})
+
+	// Guards against counting this instance's own requests twice.
+	It("counts its own requests once", func() {
+		permit, _ := t.Admit(now)
+		t.Observe(now, target.Report{Running: 1, Slots: 2, Slowdown: 1})
+		with := t.RelativeDelay(now)
+		permit.Release()
+		Expect(t.RelativeDelay(now)).To(BeNumerically("<", with))
+		Expect(t.RelativeDelay(now)).To(BeNumerically("~", 1, 0.01))
+	})
+
+	// Guards against a server that fails fast and therefore looks free.
+	It("makes a server that fails costly, and forgets it", func() {
+		before := t.RelativeDelay(now)
+		for range 5 {
+			t.Judge(true)
+		}
+		Expect(t.RelativeDelay(now)).To(BeNumerically(">", 3*before))
+		for range 40 {
+			t.Judge(false)
+		}
+		Expect(t.RelativeDelay(now)).To(BeNumerically("~", before, 0.05))
+	})
+
+	// Guards against work for a server that does not even answer a question.
+	It("makes a server costly that owes an answer", func() {
+		t.Asked(now)
+		Expect(t.RelativeDelay(at(5 * time.Millisecond))).To(BeNumerically("~", 3, 0.01))
+		t.Replied()
+		Expect(t.RelativeDelay(at(5 * time.Millisecond))).To(BeNumerically("~", 1, 0.01))
+	})
+
+	// Guards against a wrong figure that keeps work away for good.
+	It("bounds what a report can claim", func() {
+		t.Observe(now, target.Report{Running: 1_000_000, Slots: 2, Slowdown: 1e9})
+		Expect(t.RelativeDelay(at(20 * time.Second))).To(BeNumerically("<", 1000))
+	})
+})
+
+var _ = Describe("Pace", func() {
+	now := time.Now()
+
+	// Guards against a burst to a server that is known to be cold.
+	It("admits one request per interval while the server is cold", func() {
+		t := target.NewWarm(target.Spec{Name: "orders-1", Slots: 4, Links: 5}, 5)
+		t.SetPace(time.Second)
+		t.CoolFor(now, 3*time.Second)
+		Expect(t.Admits(now)).To(BeTrue())
+		_, ok := t.Admit(now)
+		Expect(ok).To(BeTrue())
+		Expect(t.Admits(now.Add(500 * time.Millisecond))).To(BeFalse())
+		_, ok = t.Admit(now.Add(1001 * time.Millisecond))
+		Expect(ok).To(BeTrue())
+		t.Warmed()
+		_, ok = t.Admit(now.Add(1002 * time.Millisecond))
+		Expect(ok).To(BeTrue())
+	})
+
+	// Guards against an instance that has no share and sends all the same.
+	It("admits nothing with a negative interval", func() {
+		t := target.NewWarm(target.Spec{Name: "orders-1", Slots: 4, Links: 5}, 5)
+		t.SetPace(-1)
+		t.CoolFor(now, time.Second)
+		_, ok := t.Admit(now)
+		Expect(ok).To(BeFalse())
+		_, ok = t.Admit(now.Add(2 * time.Second))
+		Expect(ok).To(BeTrue())
+	})
+})
