--- a/backinghttp/list_test.go
+++ b/backinghttp/list_test.go
@@ -7,10 +7,10 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"fulmarhoist.example/internal/standin/control"
-	"fulmarhoist.example/internal/standin/instancelist"
 	"fulmarhoist.example/backing"
 	"fulmarhoist.example/backinghttp"
+	"fulmarhoist.example/internal/standin/control"
+	"fulmarhoist.example/internal/standin/instancelist"
 )
 
 var _ = Describe("ListClient", func() {
--- a/backinghttp/log_test.go
+++ b/backinghttp/log_test.go
@@ -15,11 +15,11 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"fulmarhoist.example/backing"
+	"fulmarhoist.example/backinghttp"
 	"fulmarhoist.example/internal/standin/control"
 	"fulmarhoist.example/internal/standin/logservice"
 	"fulmarhoist.example/internal/standin/relay"
-	"fulmarhoist.example/backing"
-	"fulmarhoist.example/backinghttp"
 )
 
 const loopback = "127.0.0.1:0"
--- a/configlog/configlog_test.go
+++ b/configlog/configlog_test.go
@@ -16,9 +16,9 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/configlog"
-	"fulmarhoist.example/backing"
 )
 
 var decode = configlog.Decode
--- a/configlog/follower.go
+++ b/configlog/follower.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
-	"fulmarhoist.example/config"
 	"fulmarhoist.example/backing"
+	"fulmarhoist.example/config"
 )
 
 // pageLimit bounds the records of one read and thereby its memory.
--- a/configlog/publisher.go
+++ b/configlog/publisher.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
-	"fulmarhoist.example/config"
 	"fulmarhoist.example/backing"
+	"fulmarhoist.example/config"
 )
 
 // Outcome is what a publisher learned of its publication.
--- a/configlog/reader.go
+++ b/configlog/reader.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"fulmarhoist.example/config"
 	"fulmarhoist.example/backing"
+	"fulmarhoist.example/config"
 )
 
 // Options of a Reader. Zero values are replaced by defaults.
--- a/configlog/suite_test.go
+++ b/configlog/suite_test.go
@@ -11,8 +11,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"fulmarhoist.example/config"
 	"fulmarhoist.example/backing"
+	"fulmarhoist.example/config"
 )
 
 var suiteT *testing.T
--- a/daemon/cluster.go
+++ b/daemon/cluster.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/coldstart"
 	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/contract"
@@ -16,7 +17,6 @@
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/lease"
 	"fulmarhoist.example/peerwire"
-	"fulmarhoist.example/backing"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/settings"
 	"fulmarhoist.example/target"
--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -8,6 +8,8 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
+	"fulmarhoist.example/backing"
+	"fulmarhoist.example/backinghttp"
 	"fulmarhoist.example/coldstart"
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/configlog"
@@ -16,8 +18,6 @@
 	"fulmarhoist.example/httpapi"
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/lease"
-	"fulmarhoist.example/backing"
-	"fulmarhoist.example/backinghttp"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/settings"
 	"fulmarhoist.example/target"
--- a/instance/roster.go
+++ b/instance/roster.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 	"time"
 
-	"fulmarhoist.example/contract"
 	"fulmarhoist.example/backing"
+	"fulmarhoist.example/contract"
 )
 
 const (
--- a/instance/roster_test.go
+++ b/instance/roster_test.go
@@ -7,8 +7,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"fulmarhoist.example/instance"
 	"fulmarhoist.example/backing"
+	"fulmarhoist.example/instance"
 )
 
 var _ = Describe("Roster", func() {
--- a/instance/world_test.go
+++ b/instance/world_test.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"fulmarhoist.example/instance"
 	"fulmarhoist.example/backing"
+	"fulmarhoist.example/instance"
 )
 
 var epochZero = time.Unix(1_764_000_000, 0)
--- a/internal/bench/capacity/deployment_test.go
+++ b/internal/bench/capacity/deployment_test.go
@@ -14,10 +14,10 @@
 	"testing"
 	"time"
 
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/internal/standin/fleet"
 	"fulmarhoist.example/internal/standin/instancelist"
-	"fulmarhoist.example/backing"
 )
 
 // programs is the folder that buildPrograms made, if it was called.
--- a/internal/bench/capacity/newcomer_bench_test.go
+++ b/internal/bench/capacity/newcomer_bench_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/peerwire"
-	"fulmarhoist.example/backing"
 )
 
 // village is a number of rosters that exchange heartbeats in virtual time
--- a/internal/bench/capacity/peers_bench_test.go
+++ b/internal/bench/capacity/peers_bench_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/peerwire"
-	"fulmarhoist.example/backing"
 	"fulmarhoist.example/target"
 )
 
--- a/internal/bench/capacity/state_bench_test.go
+++ b/internal/bench/capacity/state_bench_test.go
@@ -7,12 +7,12 @@
 	"testing"
 	"time"
 
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/contract"
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/lease"
-	"fulmarhoist.example/backing"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/target"
 )
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -4,9 +4,9 @@
 	"errors"
 	"fmt"
 
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/caller"
 	"fulmarhoist.example/config"
-	"fulmarhoist.example/backing"
 )
 
 // ExitCode is the exit code of the process.
--- a/internal/ctl/history.go
+++ b/internal/ctl/history.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/configlog"
-	"fulmarhoist.example/backing"
 )
 
 // pageRecords bounds the records of one read and thereby its memory.
--- a/internal/ctl/logservice.go
+++ b/internal/ctl/logservice.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/pflag"
 
-	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/backinghttp"
+	"fulmarhoist.example/configlog"
 )
 
 // logTimeout bounds one read or append. It leaves time for several attempts
--- a/internal/ctl/operator_test.go
+++ b/internal/ctl/operator_test.go
@@ -15,12 +15,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"fulmarhoist.example/backing"
+	"fulmarhoist.example/backinghttp"
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/internal/ctl"
 	"fulmarhoist.example/internal/standin/logservice"
-	"fulmarhoist.example/backing"
-	"fulmarhoist.example/backinghttp"
 )
 
 // world is a log service and the instances that follow it.
--- a/internal/e2e/config_test.go
+++ b/internal/e2e/config_test.go
@@ -8,11 +8,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"fulmarhoist.example/backing"
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/internal/standin/fleet"
 	"fulmarhoist.example/internal/standin/logservice"
-	"fulmarhoist.example/backing"
 )
 
 // inForceLimit is the time after its acceptance in which a configuration is in
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -9,12 +9,12 @@
 	"path/filepath"
 	"time"
 
+	"fulmarhoist.example/backing"
+	"fulmarhoist.example/backinghttp"
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/internal/standin/control"
 	"fulmarhoist.example/internal/standin/instancelist"
-	"fulmarhoist.example/backing"
-	"fulmarhoist.example/backinghttp"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/settings"
 )
--- a/node/node.go
+++ b/node/node.go
@@ -77,9 +77,9 @@
 }
 
 const (
-	// MetricsPort and MetricsPath are where a node serves its metrics.
-	MetricsPort = "9464"
-	MetricsPath = "/metrics"
+	// metricsPort and metricsPath are where a node serves its metrics.
+	metricsPort = "9464"
+	metricsPath = "/metrics"
 	// directoryTTL is how long callers keep an answer of the directory. A short
 	// one takes them away soon from an instance that is gone.
 	directoryTTL = time.Second
@@ -212,7 +212,7 @@
 	return opened, nil
 }
 
-func (n *Node) metricsAddress() string { return net.JoinHostPort(n.settings.Address, MetricsPort) }
+func (n *Node) metricsAddress() string { return net.JoinHostPort(n.settings.Address, metricsPort) }
 
 // serveControl serves the readiness check, the directory and the metrics.
 func (n *Node) serveControl(listeners map[string]net.Listener) []*http.Server {
@@ -220,7 +220,7 @@
 		n.settings.Ready:     n.platform.Ready(n),
 		n.settings.Directory: n.platform.Directory(n),
 		n.metricsAddress(): http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if !strings.HasPrefix(r.URL.Path, MetricsPath) {
+			if !strings.HasPrefix(r.URL.Path, metricsPath) {
 				w.WriteHeader(http.StatusNotFound)
 				return
 			}
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -18,7 +18,6 @@
 	"fulmarhoist.example/registry"
 	"fulmarhoist.example/routing"
 	"fulmarhoist.example/scout"
-	"fulmarhoist.example/service"
 	"fulmarhoist.example/targetconn"
 	"fulmarhoist.example/telemetry"
 )
@@ -41,9 +40,9 @@
 	// retryMargin leaves a part of the budget for repeats unused, since the
 	// instances count in windows of their own.
 	retryMargin = 0.8
-	// expectedMembers shares the fixed part of the budget before the members of
-	// the fleet are known.
-	expectedMembers = 8
+	// leastMembers bounds the share of the fixed part of the budget that one
+	// instance takes, so that one that does not know the others yet stays modest.
+	leastMembers = 4
 )
 
 // providers returns the constructors of all parts.
@@ -73,11 +72,13 @@
 func newRoster(s *Settings) *fleet.Roster { return fleet.NewRoster(selfOf(s)) }
 
 func newRegistry(s *Settings, bounds *currentBounds, roster *fleet.Roster) *registry.Registry {
-	percent := int(math.Floor(100 * s.Bounds.RetryRatio * retryMargin))
-	minimum := int(s.Bounds.RetryExtra * retryMargin / expectedMembers)
 	return registry.New(registry.Terms{
 		OwnZone: s.Zone, RemoteRoundTrip: remoteRoundTrip, QueueLimit: queueLimit,
-		Retries: func() *service.RetryBudget { return service.NewRetryBudgetWithMinimum(percent, minimum) },
+		RetryPercent: int(math.Floor(100 * s.Bounds.RetryRatio * retryMargin)),
+		RetryMinimum: func() int {
+			view := roster.View()
+			return int(bounds.Load().RetryExtra * retryMargin / float64(max(view.Peak, len(view.Members), leastMembers)))
+		},
 		Pace: func(targetID string, spec *routing.Service) time.Duration {
 			now := bounds.Load()
 			return roster.Pace(targetID, fleet.ColdBound{
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -42,9 +42,11 @@
 	RemoteRoundTrip time.Duration
 	// QueueLimit is how many requests of one service may wait in this instance.
 	QueueLimit int
-	// Retries makes the retry budget of a service.
-	Retries func() *service.RetryBudget
-	Pace    Pacer
+	// RetryPercent and RetryMinimum give the retry budget of a service in this
+	// instance; the minimum falls as the number of instances grows.
+	RetryPercent int
+	RetryMinimum func() int
+	Pace         Pacer
 }
 
 const (
@@ -261,6 +263,10 @@
 			k.target.SetPace(r.terms.Pace(id, spec))
 		}
 	}
+	minimum := r.terms.RetryMinimum()
+	for _, s := range *r.services.Load() {
+		s.Retries.SetMinimum(minimum)
+	}
 	if r.dirty && r.config != nil {
 		r.dirty = false
 		r.publish()
@@ -275,8 +281,8 @@
 		name := r.config.Services[i].Name
 		s := old[name]
 		if s == nil {
-			s = service.New(name, r.terms.QueueLimit, 0, service.LeastInFlight{})
-			s.Retries = r.terms.Retries()
+			s = service.New(name, r.terms.QueueLimit, r.terms.RetryPercent, service.LeastInFlight{})
+			s.Retries.SetMinimum(r.terms.RetryMinimum())
 		}
 		next[name] = s
 	}
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -9,7 +9,6 @@
 
 	"fulmarhoist.example/registry"
 	"fulmarhoist.example/routing"
-	"fulmarhoist.example/service"
 	"fulmarhoist.example/target"
 )
 
@@ -20,6 +19,7 @@
 
 var _ = Describe("Registry", func() {
 	var r *registry.Registry
+	var minimum int
 	now := time.Now()
 	at := func(d time.Duration) time.Time { return now.Add(d) }
 	entry := func(id string) registry.Entry {
@@ -37,10 +37,11 @@
 	}
 
 	BeforeEach(func() {
+		minimum = 3
 		r = registry.New(registry.Terms{
 			OwnZone: "az-1", RemoteRoundTrip: time.Millisecond, QueueLimit: 10,
-			Retries: func() *service.RetryBudget { return service.NewRetryBudget(10) },
-			Pace:    func(string, *routing.Service) time.Duration { return time.Second },
+			RetryPercent: 10, RetryMinimum: func() int { return minimum },
+			Pace: func(string, *routing.Service) time.Duration { return time.Second },
 		})
 		r.Configure(&routing.Config{Version: 1, Services: []routing.Service{{Name: "orders", ColdFor: 3 * time.Second}}})
 	})
@@ -121,6 +122,26 @@
 		Expect(open(now)["a"].Cool(at(time.Second))).To(BeTrue())
 	})
 
+	// Guards against a fixed part of the retry budget that every one of many
+	// instances spends in full: 48 instances repeated 1,396 times in 10 s where 1,376
+	// were allowed.
+	It("shares the fixed part of the retry budget among the instances", func() {
+		r.Refresh(now)
+		budget := r.Service("orders").Retries
+		granted := func() (count int) {
+			for budget.Retry(now) {
+				count++
+			}
+			return count
+		}
+		minimum = 2
+		r.Refresh(now)
+		Expect(granted()).To(Equal(2))
+		minimum = 1
+		r.Refresh(now)
+		Expect(granted()).To(BeZero())
+	})
+
 	// Guards against requests to a server of another service at a used address.
 	It("moves a target that changes its service", func() {
 		r.Put(now, entry("a"))
--- a/service/budget.go
+++ b/service/budget.go
@@ -21,7 +21,7 @@
 // granted retry satisfies the bound at the time it is granted. Times that go
 // back count as the latest time seen.
 type RetryBudget struct {
-	minimum  uint64
+	minimum  atomic.Uint64
 	percent  atomic.Uint64
 	latest   atomic.Int64                 // newest second seen
 	requests [budgetSeconds]atomic.Uint64 // second (upper half) and count
@@ -39,13 +39,8 @@
 
 // NewRetryBudget returns a budget of the given percentage of requests.
 func NewRetryBudget(percent int) *RetryBudget {
-	return NewRetryBudgetWithMinimum(percent, minimumRetries)
-}
-
-// NewRetryBudgetWithMinimum returns a budget that allows the given number of
-// retries in each window at any load.
-func NewRetryBudgetWithMinimum(percent, minimum int) *RetryBudget {
-	b := &RetryBudget{minimum: uint64(max(0, minimum))}
+	b := &RetryBudget{}
+	b.SetMinimum(minimumRetries)
 	b.retries.Store(&spentRetries{})
 	b.SetPercent(percent)
 	return b
@@ -54,6 +49,9 @@
 // SetPercent changes the percentage; 0 turns retries off.
 func (b *RetryBudget) SetPercent(percent int) { b.percent.Store(uint64(max(0, percent))) }
 
+// SetMinimum changes how many retries each window allows at any load.
+func (b *RetryBudget) SetMinimum(minimum int) { b.minimum.Store(uint64(max(0, minimum))) }
+
 // Request counts a request, not its retries.
 func (b *RetryBudget) Request(now time.Time) {
 	second := b.advance(now)
@@ -82,7 +80,7 @@
 	for {
 		old := b.retries.Load()
 		next := old.at(max(second, old.second))
-		if (next.total()+1)*100 > b.minimum*100+percent*b.served(next.second) {
+		if (next.total()+1)*100 > b.minimum.Load()*100+percent*b.served(next.second) {
 			return false
 		}
 		granted := next // a copy, so that a refusal allocates nothing
