Hold a request without a target for a sixth of its aim, and keep the less urgent out of servers' queues

Change: a server whose slots are taken gets no less urgent request; a request that finds no target is refused after a sixth of its aim and may come back.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -45,7 +45,15 @@
 // Chooser finds a target for a request. It may ask targets for their load first.
 type Chooser interface {
 	// Choose takes a permit from a target that is not among those tried.
-	Choose(ctx context.Context, s *service.Service, tried service.Tried, size int64) (target.Permit, bool)
+	Choose(ctx context.Context, s *service.Service, need Need) (target.Permit, bool)
+}
+
+// Need is what a request asks of its target.
+type Need struct {
+	Tried service.Tried
+	Size  int64 // of the body; -1 if unknown
+	// Urgent requests may wait inside a target; others wait here.
+	Urgent bool
 }
 
 // FailedAnswerError is a failure that a target answered to a request that may be
@@ -85,6 +93,7 @@
 	Demand   service.Demand // rank and bounds; deadline and mark are set here
 	Sender   Sender
 	Chooser  Chooser // nil for the policy of the service
+	Urgent   bool    // told to the chooser
 	Crashes  *contract.Fingerprints
 	Tracer   trace.Tracer
 	Observer Observer
@@ -211,7 +220,7 @@
 
 func (x *Exchange) chooseBut(ctx context.Context, tried service.Tried) (target.Permit, bool) {
 	if x.Chooser != nil {
-		return x.Chooser.Choose(ctx, x.Service, tried, x.size)
+		return x.Chooser.Choose(ctx, x.Service, Need{Tried: tried, Size: x.size, Urgent: x.Urgent})
 	}
 	return x.Service.Choose(time.Now(), tried, rand.Uint64())
 }
@@ -241,6 +250,8 @@
 	// The end of a target's back-off releases no permit and wakes nobody.
 	recheck := time.NewTicker(recheckInterval)
 	defer recheck.Stop()
+	hold := holdTimer(demand.Hold)
+	defer hold.Stop()
 	for {
 		select {
 		case <-waiter.Ready():
@@ -257,6 +268,9 @@
 				queue.Leave(waiter)
 				return permit, nil
 			}
+		case <-hold.C:
+			queue.Leave(waiter)
+			return target.Permit{}, x.Contract.Refuse(contract.ReasonNoTarget)
 		case <-ctx.Done():
 			queue.Leave(waiter)
 			return target.Permit{}, x.Contract.Refuse(x.contextReason(ctx))
@@ -264,6 +278,16 @@
 	}
 }
 
+// holdTimer ends a wait. Without a bound it does not run.
+func holdTimer(hold time.Duration) *time.Timer {
+	if hold > 0 {
+		return time.NewTimer(hold)
+	}
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return timer
+}
+
 // recheckInterval is how often a waiting request looks for a target by itself.
 const recheckInterval = 25 * time.Millisecond
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -77,6 +77,10 @@
 	// about the time of a request, spread so that callers do not return together.
 	leastRetry  = 60 * time.Millisecond
 	retrySpread = 140 * time.Millisecond
+	// holdPart is the part of the time for a full answer after which a request
+	// that found no target is refused. One that is held longer is late in any case,
+	// and keeps its caller from coming back when there is room.
+	holdPart = 6
 	// elsewhereRetry is for a caller that is to connect to another instance.
 	elsewhereRetry = 10 * time.Millisecond
 )
@@ -94,7 +98,7 @@
 	if !found {
 		return line.refuse(http.StatusNotFound, "no-route", 0)
 	}
-	line.route = decision.Route
+	line.route, line.urgent = decision.Route, decision.Urgent
 	if !g.Stop.Takes(time.Now()) {
 		return line.refuse(http.StatusServiceUnavailable, "leaving", elsewhereRetry)
 	}
@@ -115,10 +119,13 @@
 			// Targets know no allowance that travels with a call.
 			Depth: contract.MaxDepth, Retries: max(0, route.Attempts-1),
 		}),
-		Service:  of,
-		Demand:   service.Demand{Rank: service.Rank(min(max(route.Priority, 0), 255)), Run: usual(of, route)},
+		Service: of,
+		Demand: service.Demand{
+			Rank: service.Rank(min(max(route.Priority, 0), 255)), Run: usual(of, route), Hold: route.Aim / holdPart,
+		},
 		Sender:   g.Sender,
 		Chooser:  g.Chooser,
+		Urgent:   l.urgent,
 		Crashes:  g.Crashes,
 		Tracer:   g.Tracer,
 		Observer: g.Metrics,
@@ -191,6 +198,7 @@
 	request  *ingress.Request
 	version  uint64
 	route    *routing.Route
+	urgent   bool
 	service  string
 	attempts int
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -112,6 +112,7 @@
 type Table struct {
 	Config *Config
 	hosts  map[string][]*entry // longest prefix first
+	least  map[string]int      // priority of the least urgent route of each service
 }
 
 // entry is a route with the place in its cycle of shares.
@@ -125,9 +126,12 @@
 // place in the cycle at which each split route begins, so that instances do not
 // send their first requests to the same service.
 func NewTable(config *Config, random uint64) *Table {
-	t := &Table{Config: config, hosts: make(map[string][]*entry)}
+	t := &Table{Config: config, hosts: make(map[string][]*entry), least: make(map[string]int)}
 	for i := range config.Routes {
 		route := &config.Routes[i]
+		for _, share := range route.Shares {
+			t.least[share.Service] = max(t.least[share.Service], route.Priority)
+		}
 		e := &entry{route: route, cycle: cycleOf(route.Shares)}
 		if len(e.cycle) > 1 {
 			e.next.Store((random + uint64(i)*0x9e3779b9) % uint64(len(e.cycle)))
@@ -147,6 +151,8 @@
 type Decision struct {
 	Route   *Route
 	Service string
+	// Urgent is true if the service has requests that are less urgent.
+	Urgent bool
 }
 
 // Match returns the decision for the next request of a host and path, or false if
@@ -154,7 +160,8 @@
 func (t *Table) Match(host, path string) (Decision, bool) {
 	for _, e := range t.hosts[strings.ToLower(withoutPort(host))] {
 		if strings.HasPrefix(path, e.route.Prefix) {
-			return Decision{Route: e.route, Service: e.take()}, true
+			name := e.take()
+			return Decision{Route: e.route, Service: name, Urgent: e.route.Priority < t.least[name]}, true
 		}
 	}
 	return Decision{}, false
--- a/scout/scout.go
+++ b/scout/scout.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"fulmarhoist.example/exchange"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/target"
 	"fulmarhoist.example/targetconn"
@@ -57,11 +58,17 @@
 	// between zones is dear. It grows by 1 with each remoteBytes of the body.
 	remoteCost  = 1.0
 	remoteBytes = 20_000
+	// urgentWaiting is how many requests may wait inside a target that still gets
+	// an urgent one.
+	urgentWaiting = 1
 )
 
 // Choose implements exchange.Chooser.
-func (s *Scout) Choose(ctx context.Context, of *service.Service, tried service.Tried, size int64) (target.Permit, bool) {
-	preference := service.Preference{Tried: tried, RemoteCost: remoteCost + float64(max(0, size))/remoteBytes}
+func (s *Scout) Choose(ctx context.Context, of *service.Service, need exchange.Need) (target.Permit, bool) {
+	preference := service.Preference{Tried: need.Tried, RemoteCost: remoteCost + float64(max(0, need.Size))/remoteBytes}
+	if need.Urgent {
+		preference.Waiting = urgentWaiting
+	}
 	random := rand.Uint64()
 	ranked := of.View().Rank(time.Now(), preference, random)
 	if path := s.HealthPath(of.Name); path != "" {
--- a/service/queue.go
+++ b/service/queue.go
@@ -23,6 +23,9 @@
 	// MaxWait is the time after which a request that may wait goes ahead of
 	// every other; 0 if it never does.
 	MaxWait time.Duration
+	// Hold is the time after which a request that found no target is refused, so
+	// that its caller can come back in time; 0 if it waits until its deadline.
+	Hold time.Duration
 	// Kept is true for a request that no other may displace, such as an upload.
 	Kept bool
 	// Seen is the result of Queue.Seen before the choice that found no target.
--- a/service/rank.go
+++ b/service/rank.go
@@ -15,6 +15,9 @@
 	// RemoteCost is the relative delay that a target in another availability zone
 	// must save to be chosen, for the traffic between zones that it causes.
 	RemoteCost float64
+	// Waiting is how many requests may wait inside a target that still gets this
+	// one. A less urgent request waits here instead, where urgent ones pass it.
+	Waiting int
 }
 
 // Ranked is a target that could get a request, with what it would cost.
@@ -31,7 +34,7 @@
 	count := uint64(len(v.Candidates))
 	for i := range count {
 		c := &v.Candidates[(random%count+i)%count]
-		if preference.Tried.Has(c.Target) || !c.Target.Admits(now) || c.Target.Crowded(now) {
+		if preference.Tried.Has(c.Target) || !c.Target.Admits(now) || c.Target.Crowded(now, preference.Waiting) {
 			continue
 		}
 		r := Ranked{Target: c.Target, Cost: c.Target.RelativeDelay(now), Remote: c.RoundTrip > 0}
--- a/target/report.go
+++ b/target/report.go
@@ -47,9 +47,6 @@
 	// or its machine cannot be reached.
 	promptAnswer = 2 * time.Millisecond
 	silenceCost  = 3
-	// waitingAllowed is how many requests may wait inside a server before it
-	// counts as crowded.
-	waitingAllowed = 1
 )
 
 // Observe records a report of the server.
@@ -107,11 +104,12 @@
 	return delay
 }
 
-// Crowded tells whether a new report shows the server full, so that one more
-// request is better kept here, where it can be ordered by urgency.
-func (t *Target) Crowded(now time.Time) bool {
+// Crowded tells whether the slots of the server are taken and the given number of
+// requests wait there, so that one more is better kept here, where it can be
+// ordered by urgency.
+func (t *Target) Crowded(now time.Time, waiting int) bool {
 	load, _ := t.estimate(now)
-	return load >= float64(t.Spec.Slots+waitingAllowed)
+	return load >= float64(t.Spec.Slots+waiting)
 }
 
 // estimate returns the requests inside the server and the slowdown of its machine.
--- a/target/report_test.go
+++ b/target/report_test.go
@@ -30,7 +30,8 @@
 	It("counts the requests of other instances", func() {
 		t.Observe(now, target.Report{Running: 2, Waiting: 2, Slots: 2, Slowdown: 1})
 		Expect(t.RelativeDelay(now)).To(BeNumerically(">", 2))
-		Expect(t.Crowded(now)).To(BeTrue())
+		Expect(t.Crowded(now, 1)).To(BeTrue())
+		Expect(t.Crowded(now, 3)).To(BeFalse())
 	})
 
 	// Guards against counting this instance's own requests twice.
