Read with short waits while the store is slow

Change: the time of the group's calls shows a slow store; followers then read with short waits, and begin a new read when it is fast again. Records collect for 0.5 and 0.9 s before the next read.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -59,10 +59,16 @@
 	failedAt atomic.Int64 // monotime nanoseconds; 0 if no call failed yet
 
 	mu   sync.Mutex
-	down bool
-	lost chan struct{} // closed while the store seems down
+	down bool          // the last call got no usable answer
+	slow bool          // the last timed call took long
+	lost chan struct{} // closed while the store is down or slow
 }
 
+// slowCall is the time from which on a call counts as slow; one takes a few
+// milliseconds. A read that begins to wait while the store is slow has missed a
+// record that was added at the same moment, until the next one came.
+const slowCall = 40 * time.Millisecond
+
 // NewHealth returns the health of a store that seems up.
 func NewHealth() *Health { return &Health{lost: make(chan struct{})} }
 
@@ -72,24 +78,40 @@
 	h.failedAt.Store(monotime.Nanos(now))
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.down {
-		return false
+	lost = !h.down
+	h.set(true, h.slow)
+	return lost
+}
+
+// set changes the state. The caller holds the mutex.
+func (h *Health) set(down, slow bool) {
+	before, after := h.down || h.slow, down || slow
+	h.down, h.slow = down, slow
+	switch {
+	case after && !before:
+		close(h.lost)
+	case before && !after:
+		h.lost = make(chan struct{})
+	}
+}
+
+// Took records how long a call took that does not wait at the store.
+func (h *Health) Took(now time.Time, took time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.set(h.down, took >= slowCall)
+	if h.slow {
+		h.failedAt.Store(monotime.Nanos(now))
 	}
-	h.down = true
-	close(h.lost)
-	return true
 }
 
 // Succeeded records an answer and tells whether the store seemed down before.
 func (h *Health) Succeeded() (regained bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.down {
-		return false
-	}
-	h.down = false
-	h.lost = make(chan struct{})
-	return true
+	regained = h.down
+	h.set(false, h.slow)
+	return regained
 }
 
 // Down tells whether the last call failed.
@@ -99,7 +121,14 @@
 	return h.down
 }
 
-// Lost returns a channel that is closed when the store seems down.
+// Impaired tells whether the store is down or slow.
+func (h *Health) Impaired() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.down || h.slow
+}
+
+// Lost returns a channel that is closed when the store is down or slow.
 func (h *Health) Lost() <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -128,7 +157,8 @@
 	Topic  string
 	// Wait is how long one read may wait at the store.
 	Wait time.Duration
-	// Interval is the least time between two reads, in which records collect.
+	// Interval is the time after records came in which further ones collect before
+	// the next read.
 	Interval time.Duration
 	// Deliver hands an event to its reader; it may wait.
 	Deliver func(ctx context.Context, event Event)
@@ -145,9 +175,9 @@
 	listTimeout = 3 * time.Second
 	// readMargin is how much longer than its wait a read may take.
 	readMargin = 2 * time.Second
-	// downWait and downMargin take their place while the store seems down, so that
-	// its return is noticed soon.
-	downWait   = 200 * time.Millisecond
+	// downWait and downMargin take their place while the store is down or slow, so
+	// that its return is noticed soon.
+	downWait   = 500 * time.Millisecond
 	downMargin = 800 * time.Millisecond
 )
 
@@ -156,7 +186,6 @@
 	backoff := firstBackoff
 	next, listed := uint64(0), false
 	for ctx.Err() == nil {
-		began := time.Now()
 		event, after, err := f.step(ctx, next, listed)
 		if err != nil {
 			var trimmed *TrimmedError
@@ -178,11 +207,11 @@
 			f.Report(f.Topic, nil)
 		}
 		backoff = firstBackoff
+		next, listed = after, true
 		if event.Listing || len(event.Records) > 0 {
 			f.Deliver(ctx, event)
+			sleep(ctx, f.Interval)
 		}
-		next, listed = after, true
-		sleep(ctx, f.Interval-time.Since(began))
 	}
 }
 
@@ -203,12 +232,12 @@
 	return Event{Topic: f.Topic, Records: batch.Records}, batch.Next, nil
 }
 
-// read waits for records. When another call finds the store down, the read is
-// given up: it may wait for an answer that never comes.
+// read waits for records. When another call finds the store down or slow, the read
+// is given up: it may wait for an answer that comes too late or never.
 func (f *Follower) read(ctx context.Context, next uint64) (Batch, error) {
 	wait, margin := f.Wait, readMargin
 	lost := f.Health.Lost()
-	if f.Health.Down() {
+	if f.Health.Impaired() {
 		wait, margin, lost = downWait, downMargin, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+margin)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -195,3 +195,31 @@
 		Expect(r.health.Settling(time.Now())).To(BeTrue())
 	})
 }
+
+// Guards against a read that began to wait while the store was slow and missed a
+// record: a configuration came into force 8 s late.
+func TestFollowerWaitsBrieflyWhileStoreIsSlow(t *testing.T) {
+	log := newLog()
+	run(t, log, func(r *rig) {
+		time.Sleep(time.Second)
+		r.health.Took(time.Now(), 140*time.Millisecond)
+		log.mu.Lock()
+		before := log.reads
+		log.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		log.mu.Lock()
+		slow := log.reads - before
+		log.mu.Unlock()
+		Expect(slow).To(BeNumerically(">=", 5))
+		r.health.Took(time.Now(), 4*time.Millisecond)
+		Expect(r.health.Impaired()).To(BeFalse())
+		time.Sleep(time.Second)
+		log.mu.Lock()
+		before = log.reads
+		log.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		log.mu.Lock()
+		defer log.mu.Unlock()
+		Expect(log.reads - before).To(BeNumerically("<=", 1))
+	})
+}
--- a/node/membership.go
+++ b/node/membership.go
@@ -59,11 +59,13 @@
 func (m *membership) step(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, joinInterval+joinTTL/2)
 	defer cancel()
+	began := time.Now()
 	generation, err := m.group.Join(ctx, m.self, m.ttl, m.generation)
 	if err != nil {
 		m.report(err)
 		return
 	}
+	m.health.Took(time.Now(), time.Since(began))
 	m.health.Succeeded()
 	if generation == m.generation {
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -190,10 +190,11 @@
 const (
 	// readWait is how long a read waits at the store for records.
 	readWait = 10 * time.Second
-	// operatorInterval and targetsInterval are the least times between two reads.
-	// Calls are dear; the bounds that these count towards are about two seconds.
-	operatorInterval = 200 * time.Millisecond
-	targetsInterval  = 400 * time.Millisecond
+	// operatorInterval and targetsInterval are the times in which records collect
+	// before the next read. Calls are dear; the bounds that these count towards are
+	// two seconds and more.
+	operatorInterval = 500 * time.Millisecond
+	targetsInterval  = 900 * time.Millisecond
 )
 
 // listen opens all addresses.
