Block targets that cannot be reached, and spend no retry on a misdirected attempt

Cause: after a zone's servers came back under new names, requests went twice to addresses of processes that had ended (421 both times) and were refused; each dial to a dark server cost a request 250 ms, again after 50 ms. Change: a target is blocked for 1 s if it cannot be reached and for 3 s if another process answers; a misdirected attempt gives its retry back.

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -44,12 +44,16 @@
 	FailureCanceled
 	// FailureLost means that bytes left and no whole answer came back.
 	FailureLost
+	// FailureMisdirected means that another process than the named one answered
+	// and did not run it. The attempt reached no server of the service, so it
+	// spends no retry.
+	FailureMisdirected
 )
 
 // mayHaveRun tells whether the target may have run the request. A value that is
 // not one of the definite failures counts as lost.
 func (f Failure) mayHaveRun() bool {
-	return f != FailureNotSent && f != FailureDeclined && f != FailureCanceled
+	return f != FailureNotSent && f != FailureDeclined && f != FailureCanceled && f != FailureMisdirected
 }
 
 // Phases of a contract, in the atomic word.
@@ -162,12 +166,16 @@
 		c.kept += c.share // the target did not run it, so nothing below spent it
 	}
 	c.share = 0
+	if failure == FailureMisdirected {
+		c.kept += min(c.attempts-1, 1)
+		c.attempts--
+	}
 	reason := ReasonAnswerLost
 	switch {
 	case c.mayHaveRun && !c.Terms.Idempotent:
 	case !now.Before(c.Terms.Deadline):
 		reason = ReasonDeadline
-	case c.kept < 1:
+	case c.kept < c.retryCost():
 		reason = ReasonRetriesSpent
 		if failure == FailureDeclined {
 			reason = ReasonDeclined
--- a/contract/contract_test.go
+++ b/contract/contract_test.go
@@ -13,6 +13,7 @@
 
 var failures = []contract.Failure{
 	0, contract.FailureNotSent, contract.FailureDeclined, contract.FailureCanceled, contract.FailureLost,
+	contract.FailureMisdirected,
 }
 
 // history is the reference model of a contract: what a target may have seen.
@@ -34,6 +35,23 @@
 }
 
 var _ = Describe("Contract", func() {
+	// Guards against a request that is refused because the addresses of servers
+	// that have ended answered for others.
+	It("spends no retry on a misdirected attempt", func() {
+		now := time.Unix(1_000_000, 0)
+		c := contract.New(contract.Terms{Deadline: now.Add(time.Second), Retries: 1, Depth: contract.MaxDepth})
+		for range 5 {
+			Expect(c.BeginAttempt(now)).To(Succeed())
+			Expect(c.FailAttempt(now, contract.FailureMisdirected)).To(BeNil())
+		}
+		Expect(c.BeginAttempt(now)).To(Succeed())
+		Expect(c.FailAttempt(now, contract.FailureDeclined)).To(BeNil())
+		Expect(c.BeginAttempt(now)).To(Succeed())
+		refusal := c.FailAttempt(now, contract.FailureDeclined)
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Outcome).To(Equal(contract.OutcomeNotRun))
+	})
+
 	// Guards against a second run of a non-idempotent request and against "not
 	// run" for a request that ran or runs later, in any order of events, with a
 	// clock that jumps.
--- a/scout/scout.go
+++ b/scout/scout.go
@@ -54,6 +54,10 @@
 	remoteWait = 8 * time.Millisecond
 	// probeTimeout ends a question without an answer.
 	probeTimeout = 300 * time.Millisecond
+	// unreachableFor and goneFor are how long a target gets no work that cannot be
+	// reached, or whose address another process has.
+	unreachableFor = time.Second
+	goneFor        = 3 * time.Second
 	// remoteCost is the least relative delay that another zone must save; traffic
 	// between zones is dear. It grows by 1 with each remoteBytes of the body.
 	remoteCost  = 1.0
@@ -154,7 +158,7 @@
 	defer cancel()
 	conn, err := s.Pools.Take(ctx, t, time.Hour)
 	if err != nil {
-		t.Failed(time.Now())
+		t.Block(time.Now(), unreachableFor)
 		return
 	}
 	if s.Probed != nil {
@@ -175,7 +179,7 @@
 	health := s.Protocol.Health(answer.Response)
 	if health.Target != t.Spec.Name {
 		// The address belongs to another process now.
-		t.Failed(now)
+		t.Block(now, goneFor)
 		conn.Close()
 		return
 	}
--- a/target/target.go
+++ b/target/target.go
@@ -366,6 +366,18 @@
 	}
 }
 
+// Block keeps new work away for a time: the server cannot be reached, or another
+// process has its address.
+func (t *Target) Block(now time.Time, length time.Duration) {
+	until := monotime.Nanos(now.Add(length))
+	for {
+		old := t.blockedTo.Load()
+		if old >= until || t.blockedTo.CompareAndSwap(old, until) {
+			return
+		}
+	}
+}
+
 // ReportPeers records the requests in flight from other instances. Reports are
 // averaged over time: all instances see the same reports late, and following each
 // one sends all of them to the same target at once. A load that is not a number
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -59,7 +59,7 @@
 	metrics.WriteProcessMetrics(w)
 }
 
-var failureNames = [...]string{"answered", "not-sent", "declined", "canceled", "lost"}
+var failureNames = [...]string{"answered", "not-sent", "declined", "canceled", "lost", "misdirected"}
 
 func (m *Metrics) of(service string) *serviceMetrics {
 	if found, ok := m.services.Load(service); ok {
