--- a/node/applier.go
+++ b/node/applier.go
@@ -109,16 +109,20 @@
 func (a *applier) applyOperator(event feed.Event) {
 	now := time.Now()
 	zones := map[string]bool{}
+	var configs [][]byte
 	for _, record := range event.Records {
 		key := a.records.OperatorKey(record.Key)
 		switch {
 		case key.Config && !record.Deleted:
-			a.applyConfig(record.Value)
+			configs = append(configs, record.Value)
 		case key.Zone != "":
 			zones[key.Zone] = !record.Deleted
 			a.evacuate(now, key.Zone, !record.Deleted)
 		}
 	}
+	// Only the newest usable configuration counts; large ones take long to decode.
+	for i := len(configs) - 1; i >= 0 && !a.applyConfig(configs[i]); i-- {
+	}
 	if !event.Listing {
 		return
 	}
@@ -137,8 +141,9 @@
 	}
 }
 
-// applyConfig puts a configuration in force unless it is older than the present one.
-func (a *applier) applyConfig(value []byte) {
+// applyConfig puts a configuration in force unless it is older than the present
+// one. It returns false if the configuration cannot be used.
+func (a *applier) applyConfig(value []byte) bool {
 	config, err := a.records.Config(value)
 	if err == nil {
 		err = config.Validate()
@@ -146,10 +151,10 @@
 	if err != nil {
 		a.logger.Error().Str("event", "config_unusable").Err(err).Uint64("kept_version", a.version).
 			Msg("configuration cannot be used")
-		return
+		return false
 	}
 	if config.Version <= a.version {
-		return
+		return true
 	}
 	a.version = config.Version
 	a.registry.Configure(config)
@@ -157,6 +162,7 @@
 	a.tables.Store(routing.NewTable(config, rand.Uint64()))
 	a.logger.Info().Str("event", "config_in_force").Uint64("version", config.Version).Int("routes", len(config.Routes)).
 		Msg("configuration in force")
+	return true
 }
 
 func (a *applier) applyTargets(event feed.Event) {
--- a/node/membership.go
+++ b/node/membership.go
@@ -22,9 +22,11 @@
 
 const (
 	// joinInterval and joinTTL let an instance that ended go from the directory
-	// within about 3.5 s, and allow for one lost call.
-	joinInterval = 800 * time.Millisecond
-	joinTTL      = 2500 * time.Millisecond
+	// within about 5 s, and allow for one lost call.
+	joinInterval = 1500 * time.Millisecond
+	joinTTL      = 3300 * time.Millisecond
+	// callTimeout bounds one step.
+	callTimeout = 2 * time.Second
 	// leaveTries is how often a leaving instance tells the store.
 	leaveTries = 3
 )
@@ -57,7 +59,7 @@
 }
 
 func (m *membership) step(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, joinInterval+joinTTL/2)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	began := time.Now()
 	generation, err := m.group.Join(ctx, m.self, m.ttl, m.generation)
@@ -109,7 +111,7 @@
 // to it any more.
 func (m *membership) leave() {
 	for range leaveTries {
-		ctx, cancel := context.WithTimeout(context.Background(), joinInterval)
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout/leaveTries)
 		err := m.group.Leave(ctx, m.self)
 		cancel()
 		if err == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -193,8 +193,8 @@
 	// operatorInterval and targetsInterval are the times in which records collect
 	// before the next read. Calls are dear; the bounds that these count towards are
 	// two seconds and more.
-	operatorInterval = 500 * time.Millisecond
-	targetsInterval  = 900 * time.Millisecond
+	operatorInterval = 400 * time.Millisecond
+	targetsInterval  = 500 * time.Millisecond
 )
 
 // listen opens all addresses.
