fulmarhoistctl explain: from a request's id to its end

Change: the line of a request names each attempt with its target, result, time, expected delay and the age of the report behind the choice, and the candidates and waiting requests of its service; answered lines are bounded to 200 a second; dropped lines are counted. explain collects the lines of an id over several logs, adds the last state of the targets, and says the end in a sentence.

--- a/cmd/fulmarhoistd/entry.go
+++ b/cmd/fulmarhoistd/entry.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/rs/zerolog/diode"
@@ -38,11 +39,13 @@
 	if err != nil {
 		return err
 	}
-	logs := diode.NewWriter(os.Stdout, logBuffer, 0, func(int) {})
+	var dropped atomic.Int64
+	logs := diode.NewWriter(os.Stdout, logBuffer, 0, func(missed int) { dropped.Add(int64(missed)) })
 	defer func() { _ = logs.Close() }()
 	n, err := node.New(settings, platform.New(settings), logs)
 	if err != nil {
 		return err
 	}
+	n.Gauge("fulmarhoist_log_lines_dropped", func() float64 { return float64(dropped.Load()) })
 	return n.Run(cmd.Context(), hangup)
 }
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -50,6 +50,18 @@
 	FailureMisdirected
 )
 
+var failureNames = [...]string{"answered", "not-sent", "declined", "canceled", "lost", "misdirected"}
+
+func (f Failure) String() string {
+	if int(f) < len(failureNames) {
+		return failureNames[f]
+	}
+	return fmt.Sprintf("failure(%d)", uint8(f))
+}
+
+// Failures is the number of failures, with 0 for an answer.
+const Failures = len(failureNames)
+
 // mayHaveRun tells whether the target may have run the request. A value that is
 // not one of the definite failures counts as lost.
 func (f Failure) mayHaveRun() bool {
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -85,6 +85,16 @@
 	Abandon()
 }
 
+// Note tells of one attempt, for logs: what was known of its target at the choice,
+// and how it ended.
+type Note struct {
+	Target    string
+	Delay     float64       // relative delay that was expected; see target.RelativeDelay
+	ReportAge time.Duration // age of the load report behind it; negative if there was none
+	Failure   contract.Failure
+	Took      time.Duration
+}
+
 // Exchange serves one request. It is used by one goroutine.
 type Exchange struct {
 	Instance string
@@ -105,6 +115,20 @@
 	silent time.Time     // when an attempt began that met a silent connection
 	size   int64         // of the body
 	failed *Response     // newest failure that a target answered
+	notes  []Note
+}
+
+// Notes returns what became of the attempts so far.
+func (x *Exchange) Notes() []Note { return x.notes }
+
+// note begins the note of an attempt.
+func (x *Exchange) note(now time.Time, t *target.Target) *Note {
+	age, known := t.ReportAge(now)
+	if !known {
+		age = -1
+	}
+	x.notes = append(x.notes, Note{Target: t.Spec.Name, Delay: t.RelativeDelay(now), ReportAge: age})
+	return &x.notes[len(x.notes)-1]
 }
 
 // Run sends the request until it is answered or the contract refuses another
@@ -329,7 +353,9 @@
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("target", chosen.Spec.Name), attribute.Int("attempt", x.Contract.Attempts()))
 	}
+	note := x.note(began, chosen)
 	response, failure, err := sending.Send(ctx, request, content)
+	note.Failure, note.Took = failure, time.Since(began)
 	if err == nil {
 		x.Contract.Answer()
 		return response, nil, false
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -57,6 +58,7 @@
 	Tracer   trace.Tracer
 	Metrics  Metrics
 	Logger   zerolog.Logger
+	Answers  zerolog.Logger // for requests that were answered; may drop lines under load
 	Stop     *Stop
 	Tables   *Tables
 }
@@ -137,7 +139,7 @@
 	request.Header.Set("Host", r.Host)
 	request.Header.Del("Content-Length")
 	response, refusal := x.Run(ctx, request)
-	l.service, l.attempts = of.Name, x.Contract.Attempts()
+	l.of, l.notes = of, x.Notes()
 	if refusal != nil {
 		g.Metrics.Settled(of.Name, refusal.Outcome)
 		return l.refuse(statusOf(refusal), string(refusal.Reason), retryAfter(refusal))
@@ -193,14 +195,14 @@
 
 // line collects what is logged of one request.
 type line struct {
-	gateway  *Gateway
-	caller   Caller
-	request  *ingress.Request
-	version  uint64
-	route    *routing.Route
-	urgent   bool
-	service  string
-	attempts int
+	gateway *Gateway
+	caller  Caller
+	request *ingress.Request
+	version uint64
+	route   *routing.Route
+	urgent  bool
+	of      *service.Service // nil before the service is known
+	notes   []exchange.Note
 }
 
 // refuse logs a request that gets no answer of a target, and returns the reply.
@@ -217,7 +219,7 @@
 
 // answered logs a request that a target has answered.
 func (l *line) answered(status int) {
-	l.log(l.gateway.Logger.Info(), "request_answered", status).Msg("request answered by a target")
+	l.log(l.gateway.Answers.Info(), "request_answered", status).Msg("request answered by a target")
 	l.gateway.Metrics.Served(l.routeName(), "answered", time.Since(l.request.Read))
 }
 
@@ -229,7 +231,24 @@
 }
 
 func (l *line) log(event *zerolog.Event, name string, status int) *zerolog.Event {
+	attempts := zerolog.Arr()
+	for _, note := range l.notes {
+		attempts.Str(describe(note))
+	}
+	if l.of != nil {
+		event = event.Str("service", l.of.Name).Int("targets", len(l.of.View().Candidates)).Int("waiting", l.of.Queue.Len())
+	}
 	return event.Str("event", name).Str("request", l.caller.RequestID).Str("route", l.routeName()).
-		Str("service", l.service).Uint64("config_version", l.version).Int("attempts", l.attempts).
+		Uint64("config_version", l.version).Array("attempts", attempts).
 		Int("status", status).Dur("left", l.caller.Left).Dur("took", time.Since(l.request.Read))
 }
+
+// describe gives an attempt in one word for each input: target, result, time at the
+// target, expected relative delay and age of the load report behind it.
+func describe(n exchange.Note) string {
+	age := "none"
+	if n.ReportAge >= 0 {
+		age = n.ReportAge.Round(100 * time.Microsecond).String()
+	}
+	return fmt.Sprintf("%s %s took=%s delay=%.2f report_age=%s", n.Target, n.Failure, n.Took.Round(time.Millisecond), n.Delay, age)
+}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -64,7 +64,7 @@
 	root.PersistentFlags().Var(&a.output, "output", "output format: table or json")
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(
 		[]string{string(outputTable), string(outputJSON)}, cobra.ShellCompDirectiveNoFileComp))
-	root.AddCommand(a.sendCommand(), a.statusCommand(), a.instancesCommand(), a.loadCommand(),
+	root.AddCommand(a.explainCommand(), a.sendCommand(), a.statusCommand(), a.instancesCommand(), a.loadCommand(),
 		a.questionnaireCommand(), a.configCommand(), a.zoneCommand(), a.targetCommand())
 	return root
 }
--- a/node/node.go
+++ b/node/node.go
@@ -87,6 +87,9 @@
 	controlTimeout = 5 * time.Second
 )
 
+// Gauge adds a metric that is read when the metrics are.
+func (n *Node) Gauge(name string, read func() float64) { n.metrics.Gauge(name, read) }
+
 // Ready tells whether callers may be sent to this instance.
 func (n *Node) Ready() bool {
 	select {
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -37,6 +37,9 @@
 	queueLimit = 256
 	// connectionShare is the part of the file descriptors for callers.
 	connectionShare = 0.5
+	// answeredLines bounds the log lines a second of requests that were answered;
+	// those of other requests are not dropped here.
+	answeredLines = 200
 	// retryMargin leaves a part of the budget for repeats unused, since the
 	// instances count in windows of their own.
 	retryMargin = 0.8
@@ -126,6 +129,7 @@
 		Instance: p.Settings.Instance, Protocol: p.Platform.Headers, Services: p.Registry, Sender: p.Sender,
 		Chooser: p.Scout, Crashes: p.Crashes, Tracer: noop.NewTracerProvider().Tracer("fulmarhoist"),
 		Metrics: p.Metrics, Logger: p.Logger, Stop: p.Stop, Tables: &p.Tables.Tables,
+		Answers: p.Logger.Sample(&zerolog.BurstSampler{Burst: answeredLines, Period: time.Second}),
 	}
 }
 
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -59,8 +59,6 @@
 	metrics.WriteProcessMetrics(w)
 }
 
-var failureNames = [...]string{"answered", "not-sent", "declined", "canceled", "lost", "misdirected"}
-
 func (m *Metrics) of(service string) *serviceMetrics {
 	if found, ok := m.services.Load(service); ok {
 		return found.(*serviceMetrics)
@@ -72,8 +70,9 @@
 	for o := contract.OutcomePending; o <= contract.OutcomeCrashesTargets; o++ {
 		s.outcomes[o] = m.set.GetOrCreateCounter(fmt.Sprintf(`fulmarhoist_requests_total{service=%q,outcome=%q}`, service, o))
 	}
-	for i, name := range failureNames {
-		s.failures[i] = m.set.GetOrCreateCounter(fmt.Sprintf(`fulmarhoist_attempts_total{service=%q,result=%q}`, service, name))
+	for i := range contract.Failures {
+		result := contract.Failure(i).String()
+		s.failures[i] = m.set.GetOrCreateCounter(fmt.Sprintf(`fulmarhoist_attempts_total{service=%q,result=%q}`, service, result))
 	}
 	found, _ := m.services.LoadOrStore(service, s)
 	return found.(*serviceMetrics)
