One instance of a large zone reads the targets' topic for the others

Change: package relay; from four instances of a zone on, the first by name answers the others from what it has read, over framed msgpack. It answers nothing when the store has not answered it for 1.1 s, and the others then read for themselves; it joins every 0.4 s while it is asked. Smaller zones read as before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,7 @@
 	Name    string
 	Zone    string
 	Address string // where callers connect
+	Relay   string // where other instances of its zone may ask for records
 }
 
 // View is the set of live members at one time. It is immutable.
@@ -99,6 +100,31 @@
 	return near[:min(len(near), MaxAddresses)]
 }
 
+// leastRelayed is the number of instances of a zone from which on one reads for
+// the others. Below it the calls that a relay saves are few.
+const leastRelayed = 4
+
+// Relay returns the address of the instance that reads for this one, or "" if this
+// instance reads for itself: in a small zone, and where it is the first by name.
+func (r *Roster) Relay() string {
+	var first *Member
+	count := 0
+	members := r.View().Members
+	for i := range members {
+		if members[i].Zone != r.self.Zone {
+			continue
+		}
+		if first == nil {
+			first = &members[i]
+		}
+		count++
+	}
+	if count < leastRelayed || first.Name == r.self.Name {
+		return ""
+	}
+	return first.Relay
+}
+
 // ColdBound is what all instances together may send to a cold target.
 type ColdBound struct {
 	PerSecond float64 // requests that it bears a second
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -54,6 +54,27 @@
 		})
 	})
 
+	Describe("Relay", func() {
+		at := func(self, count int) string {
+			var all []fleet.Member
+			for i := range count {
+				m := member(i)
+				m.Zone, m.Relay = "az-0", fmt.Sprintf("10.0.0.%d:90", i)
+				all = append(all, m)
+			}
+			r := fleet.NewRoster(all[self])
+			r.Replace(now, all)
+			return r.Relay()
+		}
+
+		// Guards against a zone in which nobody, or everybody, reads the store.
+		It("is the first instance of a large zone", func() {
+			Expect(at(0, 5)).To(BeEmpty())
+			Expect(at(3, 5)).To(Equal("10.0.0.0:90"))
+			Expect(at(1, 3)).To(BeEmpty())
+		})
+	})
+
 	Describe("Pace", func() {
 		bound := fleet.ColdBound{PerSecond: 3.5, Overshoot: 1.5, Slack: 5}
 
--- a/node/membership.go
+++ b/node/membership.go
@@ -9,6 +9,7 @@
 
 	"fulmarhoist.example/feed"
 	"fulmarhoist.example/fleet"
+	"fulmarhoist.example/relay"
 )
 
 // Group is the store's group of the entry instances.
@@ -25,6 +26,10 @@
 	// within about 5 s, and allow for one lost call.
 	joinInterval = 1500 * time.Millisecond
 	joinTTL      = 3300 * time.Millisecond
+	// relayInterval is the time between two joins while other instances asked this
+	// one for records within relayUse.
+	relayInterval = 400 * time.Millisecond
+	relayUse      = 2 * time.Second
 	// callTimeout bounds one step.
 	callTimeout = 2 * time.Second
 	// leaveTries is how often a leaving instance tells the store.
@@ -37,6 +42,7 @@
 	group  Group
 	roster *fleet.Roster
 	health *feed.Health
+	buffer *relay.Buffer
 	ttl    time.Duration
 	logger zerolog.Logger
 
@@ -45,19 +51,29 @@
 
 // run joins until the context ends, then leaves.
 func (m *membership) run(ctx context.Context) {
-	ticker := time.NewTicker(joinInterval)
-	defer ticker.Stop()
 	for {
+		began := time.Now()
 		m.step(ctx)
+		timer := time.NewTimer(time.Until(began.Add(m.interval(began))))
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			m.leave()
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
+// interval is the time between two joins. An instance that reads for others joins
+// often, because it must know within about a second that it lost the store.
+func (m *membership) interval(now time.Time) time.Duration {
+	if m.buffer.Used(now, relayUse) {
+		return relayInterval
+	}
+	return joinInterval
+}
+
 func (m *membership) step(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -68,6 +84,7 @@
 		return
 	}
 	m.health.Took(time.Now(), time.Since(began))
+	m.buffer.Heard(time.Now())
 	m.health.Succeeded()
 	if generation == m.generation {
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"fulmarhoist.example/fleet"
 	"fulmarhoist.example/gateway"
 	"fulmarhoist.example/ingress"
+	"fulmarhoist.example/relay"
 	"fulmarhoist.example/telemetry"
 )
 
@@ -45,6 +46,7 @@
 	metrics    *telemetry.Metrics
 	roster     *fleet.Roster
 	health     *feed.Health
+	buffer     *relay.Buffer
 	applier    *applier
 	membership *membership
 	server     *ingress.Server
@@ -124,6 +126,9 @@
 	var joined sync.WaitGroup
 	joined.Go(func() { n.join(ctx, work) })
 	group.Go(func() { n.watchSettings(work, reload) })
+	if listener := listeners[selfOf(n.settings).Relay]; listener != nil {
+		group.Go(func() { (&relay.Server{Buffer: n.buffer}).Serve(work, listener) })
+	}
 	servers := n.serveControl(listeners)
 	failed := make(chan error, 1)
 	go func() { failed <- n.server.Serve(listeners[n.settings.Callers]) }()
@@ -178,15 +183,28 @@
 		}
 		n.logger.Info().Str("event", "store_regained").Str("topic", topic).Msg("store answers again")
 	}
-	follow := func(topic string, interval time.Duration) *feed.Follower {
+	follow := func(log feed.Log, topic string, interval time.Duration) *feed.Follower {
 		return &feed.Follower{
-			Log: n.platform.Log, Health: n.health, Topic: topic, Wait: readWait, Interval: interval,
+			Log: log, Health: n.health, Topic: topic, Wait: readWait, Interval: interval,
 			Deliver: n.applier.deliver, Report: report,
 		}
 	}
 	return []*feed.Follower{
-		follow(n.platform.Topics.Operator, operatorInterval),
-		follow(n.platform.Topics.Targets, targetsInterval),
+		follow(n.platform.Log, n.platform.Topics.Operator, operatorInterval),
+		follow(n.relayed(), n.platform.Topics.Targets, targetsInterval),
+	}
+}
+
+// relayed reads the entries of targets, through another instance in a large zone.
+// Configurations are read by each instance: they can be larger than one instance
+// may send to all others in time.
+func (n *Node) relayed() feed.Log {
+	return &relay.Log{
+		Store: n.platform.Log, Buffer: n.buffer, Relay: n.roster.Relay,
+		Lost: func(address string, err error) {
+			n.logger.Info().Str("event", "relay_lost").Str("address", address).Err(err).
+				Msg("records are read from the store for a while")
+		},
 	}
 }
 
@@ -203,7 +221,11 @@
 // listen opens all addresses.
 func (n *Node) listen() (map[string]net.Listener, error) {
 	opened := map[string]net.Listener{}
-	for _, address := range []string{n.settings.Callers, n.settings.Ready, n.settings.Directory, n.metricsAddress()} {
+	addresses := []string{n.settings.Callers, n.settings.Ready, n.settings.Directory, n.metricsAddress()}
+	if own := selfOf(n.settings).Relay; own != "" {
+		addresses = append(addresses, own)
+	}
+	for _, address := range addresses {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			for _, l := range opened {
--- a/node/settings.go
+++ b/node/settings.go
@@ -22,6 +22,8 @@
 	Ready     string
 	Directory string
 
+	PeerPort string // port for other instances; "" if there is none
+
 	Store           string // address of the platform's store
 	StorePartitions int
 	LeastTTL        time.Duration // least lifetime of a group member at the store
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,6 +17,7 @@
 	"fulmarhoist.example/gateway"
 	"fulmarhoist.example/ingress"
 	"fulmarhoist.example/registry"
+	"fulmarhoist.example/relay"
 	"fulmarhoist.example/routing"
 	"fulmarhoist.example/scout"
 	"fulmarhoist.example/targetconn"
@@ -64,12 +66,16 @@
 		contract.NewFingerprints,
 		feed.NewHealth,
 		func() *gateway.Stop { return &gateway.Stop{Grace: settings.Bounds.Grace} },
-		newTables, newBounds, newRoster, newRegistry, newPools, newScout, newSender, newGateway, newServer, newApplier, newMembership, newNode,
+		newTables, newBounds, relay.NewBuffer, newRoster, newRegistry, newPools, newScout, newSender, newGateway, newServer, newApplier, newMembership, newNode,
 	}
 }
 
 func selfOf(s *Settings) fleet.Member {
-	return fleet.Member{Name: s.Instance, Zone: s.Zone, Address: s.Callers}
+	m := fleet.Member{Name: s.Instance, Zone: s.Zone, Address: s.Callers}
+	if s.PeerPort != "" {
+		m.Relay = net.JoinHostPort(s.Address, s.PeerPort)
+	}
+	return m
 }
 
 func newRoster(s *Settings) *fleet.Roster { return fleet.NewRoster(selfOf(s)) }
@@ -156,9 +162,22 @@
 	}
 }
 
-func newMembership(s *Settings, p *Platform, roster *fleet.Roster, health *feed.Health, logger zerolog.Logger) *membership {
+// membershipParts is what a membership is made of.
+type membershipParts struct {
+	dig.In
+
+	Settings *Settings
+	Platform *Platform
+	Roster   *fleet.Roster
+	Health   *feed.Health
+	Buffer   *relay.Buffer
+	Logger   zerolog.Logger
+}
+
+func newMembership(p membershipParts) *membership {
 	return &membership{
-		self: selfOf(s), group: p.Group, roster: roster, health: health, ttl: max(joinTTL, s.LeastTTL), logger: logger,
+		self: selfOf(p.Settings), group: p.Platform.Group, roster: p.Roster, health: p.Health, buffer: p.Buffer,
+		ttl: max(joinTTL, p.Settings.LeastTTL), logger: p.Logger,
 	}
 }
 
@@ -173,6 +192,7 @@
 	Metrics    *telemetry.Metrics
 	Roster     *fleet.Roster
 	Health     *feed.Health
+	Buffer     *relay.Buffer
 	Applier    *applier
 	Membership *membership
 	Server     *ingress.Server
@@ -182,6 +202,6 @@
 func newNode(p nodeParts) *Node {
 	return &Node{
 		settings: p.Settings, bounds: p.Bounds, platform: p.Platform, logger: p.Logger, metrics: p.Metrics, roster: p.Roster,
-		health: p.Health, applier: p.Applier, membership: p.Membership, server: p.Server, stop: p.Stop,
+		health: p.Health, buffer: p.Buffer, applier: p.Applier, membership: p.Membership, server: p.Server, stop: p.Stop,
 	}
 }
