hop: one header limit and one chunk writer for both sides

Cause: ingress and targetconn each limited headers and wrote chunks (duplicates). Change: hop holds both; no behaviour changes.

--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"fulmarhoist.example/hop"
 )
 
 const (
@@ -37,7 +39,7 @@
 type conn struct {
 	server  *Server
 	raw     net.Conn
-	limited *limitedConn
+	limited *hop.LimitedConn
 	reader  *bufio.Reader
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -56,34 +58,9 @@
 	old     bool        // HTTP/1.0
 }
 
-// limitedConn ends a header that is too long.
-type limitedConn struct {
-	net.Conn
-	left int64 // used by the reading goroutine only
-}
-
-// HeaderError reports a header that is longer than the limit.
-type HeaderError struct{}
-
-func (*HeaderError) Error() string { return "the header of the request is too long" }
-
-func (l *limitedConn) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, &HeaderError{}
-	}
-	if int64(len(p)) > l.left {
-		p = p[:l.left]
-	}
-	n, err := l.Conn.Read(p)
-	l.left -= int64(n)
-	return n, err
-}
-
-const unlimited = 1 << 62
-
 func newConn(s *Server, raw net.Conn) *conn {
 	c := &conn{server: s, raw: raw, answers: make(chan *slot, maxPipelined), drained: make(chan struct{}, 1)}
-	c.limited = &limitedConn{Conn: raw}
+	c.limited = &hop.LimitedConn{Conn: raw}
 	c.reader = bufio.NewReaderSize(c.limited, readerSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
@@ -121,7 +98,7 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		c.limited.left = unlimited
+		c.limited.SetLimit(hop.Unlimited)
 		_ = c.raw.SetReadDeadline(time.Time{})
 		_, _ = io.Copy(io.Discard, c.reader)
 	}()
@@ -135,10 +112,10 @@
 		return false
 	}
 	limits := c.server.Limits()
-	c.limited.left = int64(limits.HeaderBytes + headerSlack - c.reader.Buffered())
+	c.limited.SetLimit(int64(limits.HeaderBytes + headerSlack - c.reader.Buffered()))
 	_ = c.raw.SetReadDeadline(deadline(limits.HeaderTimeout))
 	parsed, err := http.ReadRequest(c.reader)
-	c.limited.left = unlimited
+	c.limited.SetLimit(hop.Unlimited)
 	if err != nil {
 		c.refuse(headerStatus(err), err)
 		return false
@@ -207,7 +184,7 @@
 // awaitFirstByte waits for a request. Without requests in flight the wait is
 // bounded by the idle timeout.
 func (c *conn) awaitFirstByte() bool {
-	c.limited.left = readerSize
+	c.limited.SetLimit(readerSize)
 	for {
 		if c.retired.Load() && c.pending.Load() == 0 && c.reader.Buffered() == 0 {
 			return false
@@ -255,7 +232,7 @@
 }
 
 func headerStatus(err error) int {
-	var long *HeaderError
+	var long *hop.TooLongError
 	if errors.As(err, &long) {
 		return http.StatusRequestHeaderFieldsTooLarge
 	}
@@ -363,21 +340,5 @@
 		return fmt.Errorf("write the header: %w", err)
 	}
 	source := io.MultiReader(bytes.NewReader(reply.Body), reply.Rest)
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := source.Read(buffer)
-		if n > 0 {
-			_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, werr := fmt.Fprintf(c.raw, "%x\r\n%s\r\n", n, buffer[:n]); werr != nil {
-				return fmt.Errorf("write the body: %w", werr)
-			}
-		}
-		if err == io.EOF {
-			_, werr := io.WriteString(c.raw, "0\r\n\r\n")
-			return werr
-		}
-		if err != nil {
-			return fmt.Errorf("read the body: %w", err)
-		}
-	}
+	return hop.WriteChunks(c.raw, source, func() { _ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)) })
 }
--- a/targetconn/conn.go
+++ b/targetconn/conn.go
@@ -17,6 +17,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"fulmarhoist.example/hop"
 )
 
 const (
@@ -103,7 +105,7 @@
 
 	conn    net.Conn
 	reader  *bufio.Reader
-	limit   *headerLimit
+	limit   *hop.LimitedConn
 	current atomic.Pointer[call]
 	closed  atomic.Bool
 	reuse   atomic.Bool // the last answer leaves the connection in order
@@ -111,25 +113,6 @@
 	idleFor time.Duration
 }
 
-// headerLimit ends a header that is too long.
-type headerLimit struct {
-	net.Conn
-	left atomic.Int64
-}
-
-func (l *headerLimit) Read(p []byte) (int, error) {
-	left := l.left.Load()
-	if left <= 0 {
-		return 0, &BrokenError{Problem: "the header of the answer is too long"}
-	}
-	if int64(len(p)) > left {
-		p = p[:left]
-	}
-	n, err := l.Conn.Read(p)
-	l.left.Add(-int64(n))
-	return n, err
-}
-
 // Dial opens a connection.
 func Dial(ctx context.Context, address string) (*Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
@@ -137,8 +120,8 @@
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
-	limited := &headerLimit{Conn: raw}
-	limited.left.Store(maxHeaderBytes)
+	limited := &hop.LimitedConn{Conn: raw}
+	limited.SetLimit(maxHeaderBytes)
 	c := &Conn{Opened: time.Now(), conn: raw, limit: limited, reader: bufio.NewReaderSize(limited, readBuffer)}
 	c.idleAt = c.Opened
 	c.reuse.Store(true)
@@ -285,22 +268,12 @@
 	if _, err := c.conn.Write(head.Bytes()); err != nil {
 		return fmt.Errorf("write the request: %w", err)
 	}
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, werr := fmt.Fprintf(c.conn, "%x\r\n%s\r\n", n, buffer[:n]); werr != nil {
-				return fmt.Errorf("write the body: %w", werr)
-			}
-		}
-		if err == io.EOF {
-			_, werr := io.WriteString(c.conn, "0\r\n\r\n")
-			return werr
-		}
-		if err != nil {
-			return c.abort(err)
-		}
+	err := hop.WriteChunks(c.conn, body, func() {})
+	var source *hop.SourceError
+	if errors.As(err, &source) {
+		return c.abort(source.Err)
 	}
+	return err
 }
 
 func bodyExpected(method string) bool {
@@ -312,7 +285,7 @@
 	defer c.Close()
 	skipped := 0
 	for {
-		c.limit.left.Store(maxHeaderBytes)
+		c.limit.SetLimit(maxHeaderBytes)
 		_, err := c.reader.Peek(1)
 		pending := c.current.Load()
 		if pending == nil {
@@ -370,7 +343,7 @@
 			}
 			continue
 		}
-		c.limit.left.Store(1 << 62)
+		c.limit.SetLimit(hop.Unlimited)
 		data, err := io.ReadAll(io.LimitReader(response.Body, MaxBufferedBytes+1))
 		if err != nil {
 			return nil, &BrokenError{Problem: "the answer ended early", Err: err}
