An interrupted read and a slow call are no outage of the store

Change: a slow store loses no entries and does not count as an outage; a read that was given up is tried again at once; a canceled read keeps its relay.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -48,6 +48,14 @@
 	return fmt.Sprintf("topic %s: records from offset %d on were deleted", e.Topic, e.From)
 }
 
+// InterruptedError reports a read that was given up because the store is down or
+// slow; the read itself did not fail.
+type InterruptedError struct {
+	Topic string
+}
+
+func (e *InterruptedError) Error() string { return "read of topic " + e.Topic + " given up" }
+
 // settleTime is how long after the last failed call the effects of an outage of
 // the store may still appear. Entries that expired in an outage are written again
 // within about two seconds of its end.
@@ -95,14 +103,12 @@
 	}
 }
 
-// Took records how long a call took that does not wait at the store.
-func (h *Health) Took(now time.Time, took time.Duration) {
+// Took records how long a call took that does not wait at the store. A slow store
+// loses no entries, so it does not count as an outage.
+func (h *Health) Took(took time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.set(h.down, took >= slowCall)
-	if h.slow {
-		h.failedAt.Store(monotime.Nanos(now))
-	}
 }
 
 // Succeeded records an answer and tells whether the store seemed down before.
@@ -201,6 +207,10 @@
 			if ctx.Err() != nil {
 				return
 			}
+			var interrupted *InterruptedError
+			if errors.As(err, &interrupted) {
+				continue
+			}
 			if f.Health.Failed(time.Now()) {
 				f.Report(f.Topic, err)
 			}
@@ -248,14 +258,24 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
+	interrupted := make(chan struct{})
 	go func() {
 		select {
 		case <-lost:
+			close(interrupted)
 			cancel()
 		case <-ctx.Done():
 		}
 	}()
-	return f.Log.Read(ctx, f.Topic, next, wait)
+	batch, err := f.Log.Read(ctx, f.Topic, next, wait)
+	if err != nil {
+		select {
+		case <-interrupted:
+			return batch, &InterruptedError{f.Topic}
+		default:
+		}
+	}
+	return batch, err
 }
 
 // sleep waits, or returns when the context ends.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -212,7 +212,7 @@
 	log := newLog()
 	run(t, log, func(r *rig) {
 		time.Sleep(time.Second)
-		r.health.Took(time.Now(), 140*time.Millisecond)
+		r.health.Took(140*time.Millisecond)
 		log.mu.Lock()
 		before := log.reads
 		log.mu.Unlock()
@@ -221,7 +221,7 @@
 		slow := log.reads - before
 		log.mu.Unlock()
 		Expect(slow).To(BeNumerically(">=", 5))
-		r.health.Took(time.Now(), 4*time.Millisecond)
+		r.health.Took(4*time.Millisecond)
 		Expect(r.health.Impaired()).To(BeFalse())
 		time.Sleep(time.Second)
 		log.mu.Lock()
@@ -253,3 +253,20 @@
 		Expect(r.keys()).To(Equal([]string{"a", "b"}))
 	})
 }
+
+// Guards against a slow call of this instance that counts as an outage: entries
+// that were removed then stayed in use for 1.9 s more, beyond what a server that
+// leaves allows.
+func TestSlowCallIsNoOutage(t *testing.T) {
+	log := newLog()
+	run(t, log, func(r *rig) {
+		time.Sleep(time.Second)
+		r.health.Took(60 * time.Millisecond)
+		time.Sleep(100 * time.Millisecond)
+		Expect(r.health.Down()).To(BeFalse())
+		Expect(r.health.Settling(time.Now())).To(BeFalse())
+		log.change(func() { log.records = append(log.records, record("a")) })
+		time.Sleep(100 * time.Millisecond)
+		Expect(r.keys()).To(Equal([]string{"a"}))
+	})
+}
--- a/node/membership.go
+++ b/node/membership.go
@@ -83,7 +83,7 @@
 		m.report(err)
 		return
 	}
-	m.health.Took(time.Now(), time.Since(began))
+	m.health.Took(time.Since(began))
 	m.buffer.Heard(time.Now())
 	m.health.Succeeded()
 	if generation == m.generation {
--- a/relay/log.go
+++ b/relay/log.go
@@ -66,6 +66,10 @@
 			break
 		}
 		batch, err := l.poll(ctx, address, from)
+		if err != nil && ctx.Err() != nil {
+			l.disconnect()
+			return feed.Batch{}, fmt.Errorf("read from the relay: %w", ctx.Err())
+		}
 		if err != nil {
 			l.giveUp(time.Now(), address, err)
 			break
@@ -94,14 +98,22 @@
 }
 
 func (l *Log) giveUp(now time.Time, address string, err error) {
+	l.disconnect()
 	l.mu.Lock()
 	l.direct = now.Add(directFor)
+	l.mu.Unlock()
+	l.Lost(address, err)
+}
+
+// disconnect closes the connection: an answer that was not waited for would be
+// taken for the next one.
+func (l *Log) disconnect() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.conn != nil {
 		_ = l.conn.Close()
 		l.conn = nil
 	}
-	l.mu.Unlock()
-	l.Lost(address, err)
 }
 
 // poll asks the relay once.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -126,6 +126,22 @@
 		Expect(keys(batch)).To(Equal([]string{"0", "1", "2"}))
 	})
 
+	// Guards against a relay that is given up because its follower was stopped.
+	It("keeps the relay when the read is canceled", func() {
+		buffer.Heard(time.Now())
+		buffer.Reset(3)
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err := log.Read(short, "t", 3, time.Second)
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+		Expect(lost.Load()).To(BeZero())
+		buffer.Add(3, []feed.Record{{Key: "d"}})
+		batch, err := log.Read(ctx, "t", 3, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys(batch)).To(Equal([]string{"d"}))
+		Expect(behind.reads.Load()).To(BeZero())
+	})
+
 	// Guards against a zone that waits for an instance that is gone.
 	It("reads for itself when the relay is gone", func() {
 		buffer.Heard(time.Now())
