--- a/cmd/fulmarhoistd/main.go
+++ b/cmd/fulmarhoistd/main.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"fulmarhoist.example/daemon"
+	"fulmarhoist.example/node"
 	"fulmarhoist.example/settings"
 )
 
@@ -35,7 +36,8 @@
 
 func exitCode(err error) int {
 	var invalid *settings.InvalidError
-	if errors.As(err, &invalid) {
+	var platformSettings *node.SettingsError
+	if errors.As(err, &invalid) || errors.As(err, &platformSettings) {
 		return exitSettings
 	}
 	return exitFailure
