--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -212,7 +212,7 @@
 	log := newLog()
 	run(t, log, func(r *rig) {
 		time.Sleep(time.Second)
-		r.health.Took(140*time.Millisecond)
+		r.health.Took(140 * time.Millisecond)
 		log.mu.Lock()
 		before := log.reads
 		log.mu.Unlock()
@@ -221,7 +221,7 @@
 		slow := log.reads - before
 		log.mu.Unlock()
 		Expect(slow).To(BeNumerically(">=", 5))
-		r.health.Took(4*time.Millisecond)
+		r.health.Took(4 * time.Millisecond)
 		Expect(r.health.Impaired()).To(BeFalse())
 		time.Sleep(time.Second)
 		log.mu.Lock()
