--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -229,6 +229,38 @@
 		Expect(response.Close).To(BeTrue())
 		Eventually(left).Should(BeClosed())
 	})
+
+	// Guards against a stop that panics because a connection is accepted while the
+	// last one ends: the counter of connections rose from 0 while it was waited for.
+	It("stops while callers connect", func() {
+		for range 60 {
+			s := &ingress.Server{
+				Handler:        handler(func(context.Context, *ingress.Request) *ingress.Reply { return reply(200, "") }),
+				MaxConnections: 100,
+				Limits:         func() ingress.Limits { return ingress.Limits{HeaderBytes: 100, IdleTimeout: time.Second} },
+			}
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			var group sync.WaitGroup
+			group.Go(func() { _ = s.Serve(listener) })
+			for range 8 {
+				group.Go(func() {
+					for range 30 {
+						conn, err := net.Dial("tcp", listener.Addr().String())
+						if err != nil {
+							return
+						}
+						_ = conn.Close()
+					}
+				})
+			}
+			time.Sleep(time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			s.Leave(ctx)
+			cancel()
+			group.Wait()
+		}
+	})
 })
 
 // broken is a source that fails.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -61,10 +61,10 @@
 	listener net.Listener
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
+	accepts  sync.WaitGroup // the loop that accepts connections
 	leaving  atomic.Bool
 	group    sync.WaitGroup
 	open     atomic.Int64
-	accepted atomic.Int64
 }
 
 // Serve accepts connections until Leave or Close.
@@ -72,7 +72,9 @@
 	s.mu.Lock()
 	s.listener = listener
 	s.conns = map[*conn]struct{}{}
+	s.accepts.Add(1)
 	s.mu.Unlock()
+	defer s.accepts.Done()
 	for {
 		raw, err := listener.Accept()
 		if err != nil {
@@ -81,7 +83,6 @@
 			}
 			return &AcceptError{Err: err}
 		}
-		s.accepted.Add(1)
 		if int(s.open.Load()) >= s.MaxConnections {
 			_ = raw.Close()
 			continue
@@ -138,7 +139,13 @@
 	s.mu.Unlock()
 	s.Retire()
 	done := make(chan struct{})
-	go func() { s.group.Wait(); close(done) }()
+	go func() {
+		// A connection may have been accepted just before the listener was closed.
+		s.accepts.Wait()
+		s.Retire()
+		s.group.Wait()
+		close(done)
+	}()
 	select {
 	case <-done:
 	case <-ctx.Done():
--- a/targetconn/conn.go
+++ b/targetconn/conn.go
@@ -164,23 +164,8 @@
 	} else {
 		go func() { written <- c.write(m) }()
 	}
-	var got result
-	wrote := false
-	for {
-		select {
-		case werr := <-written:
-			wrote = true
-			written = nil
-			if werr != nil && pendingResult(pending) == nil {
-				// An answer may have arrived before the target closed the connection.
-				c.expire()
-			}
-			continue
-		case got = <-pending.done:
-		}
-		break
-	}
-	if !wrote {
+	got, whole := c.await(pending, written)
+	if !whole {
 		// The rest of the body would be taken for the next request.
 		c.reuse.Store(false)
 		if got.err == nil && got.answer.Rest == nil {
@@ -198,6 +183,26 @@
 	return got.answer, true, nil
 }
 
+// await waits for the answer. The result whole tells whether the request was
+// written to its end by then.
+func (c *Conn) await(pending *call, written <-chan error) (got result, whole bool) {
+	select {
+	case err := <-written:
+		if err != nil {
+			// An answer may have arrived before the target closed the connection.
+			_ = c.conn.SetReadDeadline(time.Now().Add(lateAnswer))
+		}
+		return <-pending.done, err == nil
+	case got = <-pending.done:
+	}
+	select {
+	case err := <-written:
+		return got, err == nil
+	default:
+		return got, false
+	}
+}
+
 // smallBody is the size up to which a body is written before the answer is
 // waited for. It fits the buffers of a connection.
 const smallBody = 8 << 10
@@ -206,19 +211,6 @@
 // to read the request.
 const lateAnswer = 50 * time.Millisecond
 
-func pendingResult(p *call) *result {
-	select {
-	case r := <-p.done:
-		p.done <- r
-		return &r
-	default:
-		return nil
-	}
-}
-
-// expire ends the wait for an answer soon.
-func (c *Conn) expire() { _ = c.conn.SetReadDeadline(time.Now().Add(lateAnswer)) }
-
 func (c *Conn) write(m *Message) error {
 	var head bytes.Buffer
 	head.Grow(512)
