Name the part that asks targets for their load prober; block targets in one place

Cause: scout is no term of the field; two packages held the same two constants. Change: package prober; target.Unreachable and target.Replaced hold the times. No behaviour changes. Result: go vet, lint and the specs of target, targetconn and prober pass.

--- a/node/wiring.go
+++ b/node/wiring.go
@@ -16,10 +16,10 @@
 	"fulmarhoist.example/fleet"
 	"fulmarhoist.example/gateway"
 	"fulmarhoist.example/ingress"
+	"fulmarhoist.example/prober"
 	"fulmarhoist.example/registry"
 	"fulmarhoist.example/relay"
 	"fulmarhoist.example/routing"
-	"fulmarhoist.example/scout"
 	"fulmarhoist.example/targetconn"
 	"fulmarhoist.example/telemetry"
 )
@@ -28,7 +28,7 @@
 type Headers interface {
 	gateway.Protocol
 	targetconn.Protocol
-	scout.Protocol
+	prober.Protocol
 }
 
 const (
@@ -66,7 +66,7 @@
 		contract.NewFingerprints,
 		feed.NewHealth,
 		func() *gateway.Stop { return &gateway.Stop{Grace: settings.Bounds.Grace} },
-		newTables, newBounds, relay.NewBuffer, newRoster, newRegistry, newPools, newScout, newSender, newGateway, newServer, newApplier, newMembership, newNode,
+		newTables, newBounds, relay.NewBuffer, newRoster, newRegistry, newPools, newProber, newSender, newGateway, newServer, newApplier, newMembership, newNode,
 	}
 }
 
@@ -103,8 +103,8 @@
 	return pools
 }
 
-func newScout(p *Platform, pools *targetconn.Pools, g *tables, metrics *telemetry.Metrics) *scout.Scout {
-	return &scout.Scout{
+func newProber(p *Platform, pools *targetconn.Pools, g *tables, metrics *telemetry.Metrics) *prober.Prober {
+	return &prober.Prober{
 		Pools: pools, Protocol: p.Headers, HealthPath: g.healthPath,
 		Probed: metrics.Counter("fulmarhoist_probes_total").Inc,
 	}
@@ -122,7 +122,7 @@
 	Platform *Platform
 	Registry *registry.Registry
 	Sender   *targetconn.Sender
-	Scout    *scout.Scout
+	Prober   *prober.Prober
 	Crashes  *contract.Fingerprints
 	Metrics  *telemetry.Metrics
 	Logger   zerolog.Logger
@@ -133,7 +133,7 @@
 func newGateway(p gatewayParts) *gateway.Gateway {
 	return &gateway.Gateway{
 		Instance: p.Settings.Instance, Protocol: p.Platform.Headers, Services: p.Registry, Sender: p.Sender,
-		Chooser: p.Scout, Crashes: p.Crashes, Tracer: noop.NewTracerProvider().Tracer("fulmarhoist"),
+		Chooser: p.Prober, Crashes: p.Crashes, Tracer: noop.NewTracerProvider().Tracer("fulmarhoist"),
 		Metrics: p.Metrics, Logger: p.Logger, Stop: p.Stop, Tables: &p.Tables.Tables,
 		Answers: p.Logger.Sample(&zerolog.BurstSampler{Burst: answeredLines, Period: time.Second}),
 	}
--- a/scout/scout.go
+++ b/prober/prober.go
@@ -1,7 +1,7 @@
-// Package scout chooses a target by its load at the moment of the choice. It asks
+// Package prober chooses a target by its load at the moment of the choice. It asks
 // a few targets for their load before a request goes out, because what they said
 // some 100 ms ago tells little about servers that share their machines.
-package scout
+package prober
 
 import (
 	"context"
@@ -29,8 +29,8 @@
 	Health(response *http.Response) Health
 }
 
-// Scout implements exchange.Chooser. It is safe for concurrent use.
-type Scout struct {
+// Prober implements exchange.Chooser. It is safe for concurrent use.
+type Prober struct {
 	Pools    *targetconn.Pools
 	Protocol Protocol
 	// HealthPath returns the path of a service's health endpoint.
@@ -54,10 +54,6 @@
 	remoteWait = 8 * time.Millisecond
 	// probeTimeout ends a question without an answer.
 	probeTimeout = 300 * time.Millisecond
-	// unreachableFor and goneFor are how long a target gets no work that cannot be
-	// reached, or whose address another process has.
-	unreachableFor = time.Second
-	goneFor        = 3 * time.Second
 	// remoteCost is the least relative delay that another zone must save; traffic
 	// between zones is dear. It grows by 1 with each remoteBytes of the body.
 	remoteCost  = 1.0
@@ -68,7 +64,7 @@
 )
 
 // Choose implements exchange.Chooser.
-func (s *Scout) Choose(ctx context.Context, of *service.Service, need exchange.Need) (target.Permit, bool) {
+func (s *Prober) Choose(ctx context.Context, of *service.Service, need exchange.Need) (target.Permit, bool) {
 	preference := service.Preference{Tried: need.Tried, RemoteCost: remoteCost + float64(max(0, need.Size))/remoteBytes}
 	if need.Urgent {
 		preference.Waiting = urgentWaiting
@@ -103,7 +99,7 @@
 }
 
 // ask asks targets without a new report for one, and waits for a short time.
-func (s *Scout) ask(ctx context.Context, path string, targets []*target.Target, wait time.Duration) {
+func (s *Prober) ask(ctx context.Context, path string, targets []*target.Target, wait time.Duration) {
 	now := time.Now()
 	var waiting []chan struct{}
 	for _, t := range targets {
@@ -130,7 +126,7 @@
 
 // start asks a target, unless it is being asked already, and returns a channel
 // that is closed at the end of the question.
-func (s *Scout) start(t *target.Target, path string) chan struct{} {
+func (s *Prober) start(t *target.Target, path string) chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if done := s.pending[t]; done != nil {
@@ -153,12 +149,12 @@
 	return done
 }
 
-func (s *Scout) probe(t *target.Target, path string) {
+func (s *Prober) probe(t *target.Target, path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	conn, err := s.Pools.Take(ctx, t, time.Hour)
 	if err != nil {
-		t.Block(time.Now(), unreachableFor)
+		t.Unreachable(time.Now())
 		return
 	}
 	if s.Probed != nil {
@@ -179,7 +175,7 @@
 	health := s.Protocol.Health(answer.Response)
 	if health.Target != t.Spec.Name {
 		// The address belongs to another process now.
-		t.Block(now, goneFor)
+		t.Replaced(now)
 		conn.Close()
 		return
 	}
--- a/scout/scout_test.go
+++ b/prober/prober_test.go
@@ -1,4 +1,4 @@
-package scout_test
+package prober_test
 
 import (
 	"context"
@@ -14,26 +14,26 @@
 	. "github.com/onsi/gomega"
 
 	"fulmarhoist.example/exchange"
-	"fulmarhoist.example/scout"
+	"fulmarhoist.example/prober"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/target"
 	"fulmarhoist.example/targetconn"
 	"fulmarhoist.example/zone"
 )
 
-func TestScout(t *testing.T) {
+func TestProber(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "scout")
+	RunSpecs(t, "prober")
 }
 
 // protocol reads the health answers of the servers below.
 type protocol struct{}
 
-func (protocol) Health(response *http.Response) scout.Health {
+func (protocol) Health(response *http.Response) prober.Health {
 	slowdown, _ := strconv.ParseFloat(response.Header.Get("Slowdown"), 64)
 	running, _ := strconv.Atoi(response.Header.Get("Running"))
 	cold, _ := strconv.Atoi(response.Header.Get("Cold-Ms"))
-	return scout.Health{
+	return prober.Health{
 		Target: response.Header.Get("Name"), ColdLeft: time.Duration(cold) * time.Millisecond, ColdTold: true,
 		Load: &target.Report{Running: running, Slots: 2, Slowdown: slowdown},
 	}
@@ -60,14 +60,14 @@
 	return target.NewWarm(target.Spec{Name: name, Address: address, Slots: 2, Links: 3}, 3)
 }
 
-var _ = Describe("Scout", func() {
-	var s *scout.Scout
+var _ = Describe("Prober", func() {
+	var s *prober.Prober
 	var of *service.Service
 
 	BeforeEach(func() {
 		pools := targetconn.NewPools()
 		DeferCleanup(func() { pools.Retain(nil) })
-		s = &scout.Scout{Pools: pools, Protocol: protocol{}, HealthPath: func(string) string { return "/health" }}
+		s = &prober.Prober{Pools: pools, Protocol: protocol{}, HealthPath: func(string) string { return "/health" }}
 		of = service.New("orders", 10, 10, service.LeastInFlight{})
 	})
 	serve := func(near, far []*target.Target) {
--- a/target/target.go
+++ b/target/target.go
@@ -366,9 +366,23 @@
 	}
 }
 
-// Block keeps new work away for a time: the server cannot be reached, or another
-// process has its address.
-func (t *Target) Block(now time.Time, length time.Duration) {
+const (
+	// unreachableFor is how long a target gets no work after a connection to it
+	// could not be opened; each try may cost a request the time of a dial.
+	unreachableFor = time.Second
+	// replacedFor is the same after another process answered at its address. A
+	// process that starts there under the same name registers as a new target.
+	replacedFor = 3 * time.Second
+)
+
+// Unreachable records that a connection could not be opened.
+func (t *Target) Unreachable(now time.Time) { t.block(now, unreachableFor) }
+
+// Replaced records that another process answered at the address.
+func (t *Target) Replaced(now time.Time) { t.block(now, replacedFor) }
+
+// block keeps new work away for a time.
+func (t *Target) block(now time.Time, length time.Duration) {
 	until := monotime.Nanos(now.Add(length))
 	for {
 		old := t.blockedTo.Load()
--- a/targetconn/sender.go
+++ b/targetconn/sender.go
@@ -59,12 +59,6 @@
 	// suspicion is how long a target counts as cold after its connections broke:
 	// its process may have started again.
 	suspicion = 3 * time.Second
-	// unreachableFor is how long a target gets no work after a connection to it
-	// could not be opened; each try may cost a request dialTimeout.
-	unreachableFor = time.Second
-	// goneFor is the same after another process answered at its address. A process
-	// that starts there under the same name registers as a new target.
-	goneFor = 3 * time.Second
 	// leastPatience and patienceFactor set how long an attempt at a target that
 	// does not answer lasts if the request may be sent again, relative to the
 	// usual time of its class.
@@ -84,7 +78,7 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			now := time.Now()
-			permit.Target.Block(now, unreachableFor)
+			permit.Target.Unreachable(now)
 			permit.Target.CoolFor(now, suspicion)
 			s.Logger.Warn().Str("event", "target_unreachable").Str("target", permit.Target.Spec.Name).
 				Str("address", permit.Target.Spec.Address).Err(err).Msg("target cannot be reached")
@@ -181,7 +175,7 @@
 	case errors.As(err, &declined):
 		t.Judge(true)
 		if declined.Status == http.StatusMisdirectedRequest {
-			t.Block(now, goneFor)
+			t.Replaced(now)
 		}
 	case err != nil:
 		t.Judge(true)
