--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -261,6 +261,20 @@
 			group.Wait()
 		}
 	})
+
+	// Guards against a listener that stays open because the stop came before the
+	// server began to accept.
+	It("does not begin after it was told to leave", func() {
+		s := &ingress.Server{}
+		s.Leave(context.Background())
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		ended := make(chan error, 1)
+		go func() { ended <- s.Serve(listener) }()
+		Eventually(ended).Should(Receive(BeNil()))
+		_, err = net.Dial("tcp", listener.Addr().String())
+		Expect(err).To(HaveOccurred())
+	})
 })
 
 // broken is a source that fails.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -69,11 +69,9 @@
 
 // Serve accepts connections until Leave or Close.
 func (s *Server) Serve(listener net.Listener) error {
-	s.mu.Lock()
-	s.listener = listener
-	s.conns = map[*conn]struct{}{}
-	s.accepts.Add(1)
-	s.mu.Unlock()
+	if !s.begin(listener) {
+		return listener.Close()
+	}
 	defer s.accepts.Done()
 	for {
 		raw, err := listener.Accept()
@@ -91,6 +89,20 @@
 	}
 }
 
+// begin takes over the listener. It returns false if Leave came first: it could not
+// close the listener then.
+func (s *Server) begin(listener net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving.Load() {
+		return false
+	}
+	s.listener = listener
+	s.conns = map[*conn]struct{}{}
+	s.accepts.Add(1)
+	return true
+}
+
 // AcceptError reports a listener that failed.
 type AcceptError struct {
 	Err error
@@ -131,8 +143,8 @@
 // Leave stops to accept connections and waits until the open ones have ended, or
 // the context ends.
 func (s *Server) Leave(ctx context.Context) {
-	s.leaving.Store(true)
 	s.mu.Lock()
+	s.leaving.Store(true)
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
