--- a/node/node.go
+++ b/node/node.go
@@ -209,8 +209,10 @@
 }
 
 const (
-	// readWait is how long a read waits at the store for records.
-	readWait = 10 * time.Second
+	// readWait is how long a read waits at the store for records. A read that begins
+	// while a record is being appended does not see it, and the bounds of the
+	// configuration and of leaving targets are two seconds.
+	readWait = 1200 * time.Millisecond
 	// operatorInterval and targetsInterval are the times in which records collect
 	// before the next read. Calls are dear; the bounds that these count towards are
 	// two seconds and more.
