targetconn: end a request whose connection was closed as it began

Cause, found by reading the change: the goroutine that reads looks for a call, finds none, and ends; a request that began before it had marked the connection as closed waited for an answer that nobody delivers, also beyond its deadline.

--- a/targetconn/conn.go
+++ b/targetconn/conn.go
@@ -108,8 +108,9 @@
 	limit   *hop.LimitedConn
 	current atomic.Pointer[call]
 	closed  atomic.Bool
-	reuse   atomic.Bool // the last answer leaves the connection in order
-	idleAt  time.Time   // when the last answer ended; owned by the holder
+	ended   chan struct{} // closed when the reading goroutine has ended
+	reuse   atomic.Bool   // the last answer leaves the connection in order
+	idleAt  time.Time     // when the last answer ended; owned by the holder
 	idleFor time.Duration
 }
 
@@ -123,6 +124,7 @@
 	limited := &hop.LimitedConn{Conn: raw}
 	limited.SetLimit(maxHeaderBytes)
 	c := &Conn{Opened: time.Now(), conn: raw, limit: limited, reader: bufio.NewReaderSize(limited, readBuffer)}
+	c.ended = make(chan struct{})
 	c.idleAt = c.Opened
 	c.reuse.Store(true)
 	go c.read()
@@ -192,8 +194,10 @@
 			// An answer may have arrived before the target closed the connection.
 			_ = c.conn.SetReadDeadline(time.Now().Add(lateAnswer))
 		}
-		return <-pending.done, err == nil
+		return c.result(pending), err == nil
 	case got = <-pending.done:
+	case <-c.ended:
+		got = c.result(pending)
 	}
 	select {
 	case err := <-written:
@@ -203,6 +207,22 @@
 	}
 }
 
+// result returns how a call ended. The reading goroutine may have ended, with an
+// idle connection, just before the call began; it delivers nothing then.
+func (c *Conn) result(pending *call) result {
+	select {
+	case got := <-pending.done:
+		return got
+	case <-c.ended:
+	}
+	select {
+	case got := <-pending.done:
+		return got
+	default:
+		return result{err: &BrokenError{Problem: "closed while the request was sent", Silent: true}}
+	}
+}
+
 // smallBody is the size up to which a body is written before the answer is
 // waited for. It fits the buffers of a connection.
 const smallBody = 8 << 10
@@ -274,6 +294,7 @@
 
 // read delivers answers until the connection ends.
 func (c *Conn) read() {
+	defer close(c.ended)
 	defer c.Close()
 	skipped := 0
 	for {
