configlog, peerwire: never wait for a timer that is already due

In a synctest bubble, goroutines that select on due timers run them with the bubble's one race context at the same time. Ruled out: our own memory use; there is no unsafe code on that path. Change: readers and dialers begin their first step directly instead of through a timer of length 0.

--- a/configlog/reader.go
+++ b/configlog/reader.go
@@ -129,8 +129,11 @@
 // the append under way, which end with the context. It is called once.
 func (r *Reader) Run(ctx context.Context) {
 	defer r.group.Wait()
-	timer := time.NewTimer(0)
+	// The timer is never due when it is waited for; see TestManyReadersStartAtOnce.
+	timer := time.NewTimer(r.options.PollInterval)
 	defer timer.Stop()
+	timer.Stop()
+	r.startRead(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -138,7 +141,11 @@
 		case <-timer.C:
 			r.startRead(ctx)
 		case res := <-r.reads:
-			timer.Reset(r.absorb(ctx, res))
+			if wait := r.absorb(ctx, res); wait > 0 {
+				timer.Reset(wait)
+			} else {
+				r.startRead(ctx)
+			}
 		case s := <-r.offers:
 			r.options.OnVerdict(r.order.Offer(time.Now(), s))
 			r.publish()
--- a/peerwire/peer.go
+++ b/peerwire/peer.go
@@ -121,7 +121,9 @@
 
 // keep opens, checks and closes the connection as the roster wants it.
 func (p *peer) keep(ctx context.Context) {
-	timer := time.NewTimer(0)
+	// The timer is never due when it is waited for; see docs/PROOFS.md.
+	p.poke()
+	timer := time.NewTimer(idleAfter)
 	defer timer.Stop()
 	backoff := firstBackoff
 	var nextTry time.Time
