Relay the operator's topic too, and make fewer calls to a store that is away

In outages all instances asked again every 0.3 s, and a relay that held too few records, or was asked before it joined often, was left for 3 s. Change: the relay of a zone serves both topics; values over 8 KiB are read from the store by each instance. Records that it does not hold any more are read once, without leaving it. It joins often from when it knows that it relays. Pauses after failed calls grow to 0.9 s. The first four joins come 0.5 s apart, because the store lists a member only after the others have joined again.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -173,10 +173,11 @@
 }
 
 const (
-	// firstBackoff and maxBackoff bound the pause after a failed call. The bounds
-	// of the configuration and of leaving targets are about two seconds.
+	// firstBackoff and maxBackoff bound the pause after a failed call. The longest
+	// pause is half as long again; changes must be known within three seconds of
+	// the store's return.
 	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = 400 * time.Millisecond
+	maxBackoff   = 900 * time.Millisecond
 	// listTimeout bounds one listing of all keys.
 	listTimeout = 3 * time.Second
 	// readMargin is how much longer than its wait a read may take.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -107,6 +107,21 @@
 // Relay returns the address of the instance that reads for this one, or "" if this
 // instance reads for itself: in a small zone, and where it is the first by name.
 func (r *Roster) Relay() string {
+	if reader := r.reader(); reader != nil && reader.Name != r.self.Name {
+		return reader.Relay
+	}
+	return ""
+}
+
+// Relays tells whether this instance reads for the others of its zone.
+func (r *Roster) Relays() bool {
+	reader := r.reader()
+	return reader != nil && reader.Name == r.self.Name
+}
+
+// reader returns the instance that reads for the zone of this one: the first by
+// name, or nil in a small zone.
+func (r *Roster) reader() *Member {
 	var first *Member
 	count := 0
 	members := r.View().Members
@@ -119,10 +134,10 @@
 		}
 		count++
 	}
-	if count < leastRelayed || first.Name == r.self.Name {
-		return ""
+	if count < leastRelayed {
+		return nil
 	}
-	return first.Relay
+	return first
 }
 
 // ColdBound is what all instances together may send to a cold target.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -55,7 +55,7 @@
 	})
 
 	Describe("Relay", func() {
-		at := func(self, count int) string {
+		roster := func(self, count int) *fleet.Roster {
 			var all []fleet.Member
 			for i := range count {
 				m := member(i)
@@ -64,14 +64,20 @@
 			}
 			r := fleet.NewRoster(all[self])
 			r.Replace(now, all)
-			return r.Relay()
+			return r
 		}
 
 		// Guards against a zone in which nobody, or everybody, reads the store.
 		It("is the first instance of a large zone", func() {
-			Expect(at(0, 5)).To(BeEmpty())
-			Expect(at(3, 5)).To(Equal("10.0.0.0:90"))
-			Expect(at(1, 3)).To(BeEmpty())
+			Expect(roster(0, 5).Relay()).To(BeEmpty())
+			Expect(roster(3, 5).Relay()).To(Equal("10.0.0.0:90"))
+			Expect(roster(1, 3).Relay()).To(BeEmpty())
+		})
+
+		It("is known to the instance that reads for its zone, before it is asked", func() {
+			Expect(roster(0, 5).Relays()).To(BeTrue())
+			Expect(roster(3, 5).Relays()).To(BeFalse())
+			Expect(roster(0, 3).Relays()).To(BeFalse())
 		})
 	})
 
--- a/node/membership.go
+++ b/node/membership.go
@@ -26,10 +26,14 @@
 	// within about 5 s, and allow for one lost call.
 	joinInterval = 1500 * time.Millisecond
 	joinTTL      = 3300 * time.Millisecond
-	// relayInterval is the time between two joins while other instances asked this
-	// one for records within relayUse.
+	// relayInterval is the time between two joins of an instance that reads for its
+	// zone, or that other instances asked for records within relayUse.
 	relayInterval = 400 * time.Millisecond
 	relayUse      = 2 * time.Second
+	// earlyInterval is the time between the first joins, earlyJoins in number. The
+	// store lists a member only after others have joined again.
+	earlyInterval = 500 * time.Millisecond
+	earlyJoins    = 4
 	// callTimeout bounds one step.
 	callTimeout = 2 * time.Second
 	// leaveTries is how often a leaving instance tells the store.
@@ -38,15 +42,16 @@
 
 // membership keeps this instance in the group and the roster up to date.
 type membership struct {
-	self   fleet.Member
-	group  Group
-	roster *fleet.Roster
-	health *feed.Health
-	buffer *relay.Buffer
-	ttl    time.Duration
-	logger zerolog.Logger
+	self    fleet.Member
+	group   Group
+	roster  *fleet.Roster
+	health  *feed.Health
+	buffers relay.Buffers
+	ttl     time.Duration
+	logger  zerolog.Logger
 
 	generation uint64
+	joins      int // so far
 }
 
 // run joins until the context ends, then leaves.
@@ -68,7 +73,10 @@
 // interval is the time between two joins. An instance that reads for others joins
 // often, because it must know within about a second that it lost the store.
 func (m *membership) interval(now time.Time) time.Duration {
-	if m.buffer.Used(now, relayUse) {
+	if m.joins < earlyJoins {
+		return earlyInterval
+	}
+	if m.roster.Relays() || m.buffers.Used(now, relayUse) {
 		return relayInterval
 	}
 	return joinInterval
@@ -83,8 +91,9 @@
 		m.report(err)
 		return
 	}
+	m.joins++
 	m.health.Took(time.Since(began))
-	m.buffer.Heard(time.Now())
+	m.buffers.Heard(time.Now())
 	m.health.Succeeded()
 	if generation == m.generation {
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -46,7 +46,7 @@
 	metrics    *telemetry.Metrics
 	roster     *fleet.Roster
 	health     *feed.Health
-	buffer     *relay.Buffer
+	buffers    relay.Buffers
 	applier    *applier
 	membership *membership
 	server     *ingress.Server
@@ -127,7 +127,7 @@
 	joined.Go(func() { n.join(ctx, work) })
 	group.Go(func() { n.watchSettings(work, reload) })
 	if listener := listeners[selfOf(n.settings).Relay]; listener != nil {
-		group.Go(func() { (&relay.Server{Buffer: n.buffer}).Serve(work, listener) })
+		group.Go(func() { (&relay.Server{Buffers: n.buffers}).Serve(work, listener) })
 	}
 	servers := n.serveControl(listeners)
 	failed := make(chan error, 1)
@@ -183,26 +183,24 @@
 		}
 		n.logger.Info().Str("event", "store_regained").Str("topic", topic).Msg("store answers again")
 	}
-	follow := func(log feed.Log, topic string, interval time.Duration) *feed.Follower {
+	follow := func(topic string, interval time.Duration) *feed.Follower {
 		return &feed.Follower{
-			Log: log, Health: n.health, Topic: topic, Wait: readWait, Interval: interval,
+			Log: n.relayed(topic), Health: n.health, Topic: topic, Wait: readWait, Interval: interval,
 			Deliver: n.applier.deliver, Report: report,
 		}
 	}
 	return []*feed.Follower{
-		follow(n.platform.Log, n.platform.Topics.Operator, operatorInterval),
-		follow(n.relayed(), n.platform.Topics.Targets, targetsInterval),
+		follow(n.platform.Topics.Operator, operatorInterval),
+		follow(n.platform.Topics.Targets, targetsInterval),
 	}
 }
 
-// relayed reads the entries of targets, through another instance in a large zone.
-// Configurations are read by each instance: they can be larger than one instance
-// may send to all others in time.
-func (n *Node) relayed() feed.Log {
+// relayed reads a topic, through another instance in a large zone.
+func (n *Node) relayed(topic string) feed.Log {
 	return &relay.Log{
-		Store: n.platform.Log, Buffer: n.buffer, Relay: n.roster.Relay,
+		Store: n.platform.Log, Buffer: n.buffers[topic], Relay: n.roster.Relay,
 		Lost: func(address string, err error) {
-			n.logger.Info().Str("event", "relay_lost").Str("address", address).Err(err).
+			n.logger.Info().Str("event", "relay_lost").Str("topic", topic).Str("address", address).Err(err).
 				Msg("records are read from the store for a while")
 		},
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -66,6 +66,39 @@
 		Expect(second.addresses("az-1")).NotTo(ContainElement(second.settings.Callers))
 	})
 
+	// Guards against calls to the store that grow with the instances of a zone.
+	It("reads the store once for a large zone, and follows both topics", func() {
+		b := newBackend("i-1")
+		first := serving(b)
+		all := []*instance{first}
+		for number := 3; number <= 6; number++ {
+			all = append(all, r.start(number))
+		}
+		for _, i := range all {
+			Eventually(func() []string { return i.addresses("az-1") }, "8s").Should(HaveLen(len(all)))
+		}
+		// A relay that was asked too early is asked again after 3 s.
+		reads := func() int {
+			before := r.store.Calls("/v1/log-read")
+			time.Sleep(3 * time.Second)
+			return r.store.Calls("/v1/log-read") - before
+		}
+		// One instance reads two topics, each at most every 1.2 s while nothing changes.
+		Eventually(reads, "20s").Should(BeNumerically("<=", 8))
+		r.configure("/new/")
+		a := newBackend("i-2")
+		r.register(a, "ready", 1)
+		r.register(b, "draining", 2)
+		for _, i := range all {
+			Eventually(func() int { return r.send(ctx, i, "GET", "/new/1", "").status }, "2s").Should(Equal(200))
+			Eventually(func() int32 {
+				before := b.total.Load()
+				Expect(get(i).status).To(Equal(200))
+				return b.total.Load() - before
+			}, "2s").Should(BeZero())
+		}
+	})
+
 	// Guards against new work for a target that is leaving.
 	It("sends nothing to a draining or removed target", func() {
 		a, b := newBackend("i-1"), newBackend("i-2")
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -145,7 +145,7 @@
 	s := &node.Settings{
 		Instance: fmt.Sprintf("entry-%d", number), Zone: "az-1", Region: "r", Address: address, MaxFiles: 1000,
 		Callers: freePort(address), Ready: freePort(address), Directory: freePort(address), Store: r.address,
-		StorePartitions: 12, LeastTTL: time.Second,
+		StorePartitions: 12, LeastTTL: time.Second, PeerPort: portOf(freePort(address)),
 		Bounds: node.Bounds{
 			Grace: 2 * time.Second, DirectoryTTL: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 64, ColdOvershoot: 1, ColdSlack: 5,
 		},
@@ -179,6 +179,12 @@
 	return listener.Addr().String()
 }
 
+func portOf(address string) string {
+	_, port, err := net.SplitHostPort(address)
+	Expect(err).NotTo(HaveOccurred())
+	return port
+}
+
 func (i *instance) ready() int {
 	response, err := http.Get("http://" + i.settings.Ready + "/v1/ready")
 	if err != nil {
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -66,7 +66,7 @@
 		contract.NewFingerprints,
 		feed.NewHealth,
 		func() *gateway.Stop { return &gateway.Stop{Grace: settings.Bounds.Grace} },
-		newTables, newBounds, relay.NewBuffer, newRoster, newRegistry, newPools, newProber, newSender, newGateway, newServer, newApplier, newMembership, newNode,
+		newTables, newBounds, newBuffers, newRoster, newRegistry, newPools, newProber, newSender, newGateway, newServer, newApplier, newMembership, newNode,
 	}
 }
 
@@ -78,6 +78,10 @@
 	return m
 }
 
+func newBuffers(p *Platform) relay.Buffers {
+	return relay.NewBuffers(p.Topics.Operator, p.Topics.Targets)
+}
+
 func newRoster(s *Settings) *fleet.Roster { return fleet.NewRoster(selfOf(s)) }
 
 func newRegistry(s *Settings, bounds *currentBounds, roster *fleet.Roster) *registry.Registry {
@@ -170,13 +174,13 @@
 	Platform *Platform
 	Roster   *fleet.Roster
 	Health   *feed.Health
-	Buffer   *relay.Buffer
+	Buffers  relay.Buffers
 	Logger   zerolog.Logger
 }
 
 func newMembership(p membershipParts) *membership {
 	return &membership{
-		self: selfOf(p.Settings), group: p.Platform.Group, roster: p.Roster, health: p.Health, buffer: p.Buffer,
+		self: selfOf(p.Settings), group: p.Platform.Group, roster: p.Roster, health: p.Health, buffers: p.Buffers,
 		ttl: max(joinTTL, p.Settings.LeastTTL), logger: p.Logger,
 	}
 }
@@ -192,7 +196,7 @@
 	Metrics    *telemetry.Metrics
 	Roster     *fleet.Roster
 	Health     *feed.Health
-	Buffer     *relay.Buffer
+	Buffers    relay.Buffers
 	Applier    *applier
 	Membership *membership
 	Server     *ingress.Server
@@ -202,6 +206,6 @@
 func newNode(p nodeParts) *Node {
 	return &Node{
 		settings: p.Settings, bounds: p.Bounds, platform: p.Platform, logger: p.Logger, metrics: p.Metrics, roster: p.Roster,
-		health: p.Health, buffer: p.Buffer, applier: p.Applier, membership: p.Membership, server: p.Server, stop: p.Stop,
+		health: p.Health, buffers: p.Buffers, applier: p.Applier, membership: p.Membership, server: p.Server, stop: p.Stop,
 	}
 }
--- a/relay/buffer.go
+++ b/relay/buffer.go
@@ -20,13 +20,30 @@
 	// staleAfter is how long after the last answer of the store a relay goes on.
 	// Changes must be known everywhere within two seconds.
 	staleAfter = 1100 * time.Millisecond
+	// maxPassedValue is the size of the largest value that is passed on. A large
+	// configuration would hold a slow link of the relay for seconds if it went to
+	// every instance of a zone; they read it from the store.
+	maxPassedValue = 8 << 10
 )
 
+// held is a record of a buffer.
+type held struct {
+	record feed.Record
+	large  bool // the value is not kept
+}
+
+func hold(r feed.Record) held {
+	if len(r.Value) > maxPassedValue {
+		return held{record: feed.Record{Key: r.Key}, large: true}
+	}
+	return held{record: r}
+}
+
 // Buffer holds the newest records of a topic. It is safe for concurrent use.
 type Buffer struct {
 	mu      sync.Mutex
 	first   uint64 // offset of the first record
-	records []feed.Record
+	records []held
 	heard   time.Time     // when the store last answered
 	asked   time.Time     // when another instance last asked
 	changed chan struct{} // closed and replaced when records are added
@@ -64,9 +81,11 @@
 	if from != b.first+uint64(len(b.records)) {
 		b.first, b.records = from, nil
 	}
-	b.records = append(b.records, records...)
+	for i := range records {
+		b.records = append(b.records, hold(records[i]))
+	}
 	if excess := len(b.records) - maxRecords; excess > 0 {
-		b.records = append([]feed.Record(nil), b.records[excess:]...)
+		b.records = append([]held(nil), b.records[excess:]...)
 		b.first += uint64(excess)
 	}
 	if len(records) > 0 {
@@ -79,20 +98,59 @@
 	b.changed = make(chan struct{})
 }
 
-// since returns the records from an offset on, and a channel that is closed when
-// more come. It returns false if the store was not heard of for too long, or if
-// the records are not held any more.
-func (b *Buffer) since(now time.Time, from uint64) (batch feed.Batch, changed <-chan struct{}, ok bool) {
+// found is what a buffer holds from an offset on.
+type found struct {
+	batch feed.Batch
+	// elsewhere is true if some of the records are not held, because they are too
+	// large to be passed on or too old.
+	elsewhere bool
+	changed   <-chan struct{} // closed when more come
+}
+
+// since returns the records from an offset on. It returns false if the store was
+// not heard of for too long.
+func (b *Buffer) since(now time.Time, from uint64) (found, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.asked = now
 	next := b.first + uint64(len(b.records))
-	if now.Sub(b.heard) > staleAfter || from < b.first {
-		return feed.Batch{}, nil, false
+	if now.Sub(b.heard) > staleAfter {
+		return found{}, false
+	}
+	f := found{batch: feed.Batch{Next: max(from, next)}, elsewhere: from < b.first, changed: b.changed}
+	for i := max(from, b.first); i < next; i++ {
+		h := &b.records[i-b.first]
+		f.elsewhere = f.elsewhere || h.large
+		f.batch.Records = append(f.batch.Records, h.record)
 	}
-	if from >= next {
-		return feed.Batch{Next: from}, b.changed, true
+	return f, true
+}
+
+// Buffers holds a buffer for each topic. The set of topics does not change.
+type Buffers map[string]*Buffer
+
+// NewBuffers returns empty buffers for the given topics.
+func NewBuffers(topics ...string) Buffers {
+	all := Buffers{}
+	for _, topic := range topics {
+		all[topic] = NewBuffer()
+	}
+	return all
+}
+
+// Heard records an answer of the store for all topics.
+func (b Buffers) Heard(now time.Time) {
+	for _, buffer := range b {
+		buffer.Heard(now)
+	}
+}
+
+// Used tells whether another instance has asked for any topic within the given time.
+func (b Buffers) Used(now time.Time, within time.Duration) bool {
+	for _, buffer := range b {
+		if buffer.Used(now, within) {
+			return true
+		}
 	}
-	records := append([]feed.Record(nil), b.records[from-b.first:]...)
-	return feed.Batch{Records: records, Next: next}, b.changed, true
+	return false
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -38,8 +38,7 @@
 	directFor = 3 * time.Second
 )
 
-// StaleError reports a relay that has not heard from the store, or does not hold
-// the records asked for.
+// StaleError reports a relay that has not heard from the store for too long.
 type StaleError struct {
 	Address string
 }
@@ -65,7 +64,7 @@
 		if address == "" {
 			break
 		}
-		batch, err := l.poll(ctx, address, from)
+		got, err := l.poll(ctx, address, question{Topic: topic, From: from, WaitMs: pollWait.Milliseconds()})
 		if err != nil && ctx.Err() != nil {
 			l.disconnect()
 			return feed.Batch{}, fmt.Errorf("read from the relay: %w", ctx.Err())
@@ -74,8 +73,11 @@
 			l.giveUp(time.Now(), address, err)
 			break
 		}
-		if len(batch.Records) > 0 || time.Now().After(end) {
-			return batch, nil
+		if got.Elsewhere {
+			break
+		}
+		if len(got.Records) > 0 || time.Now().After(end) {
+			return feed.Batch{Records: got.Records, Next: got.Next}, nil
 		}
 	}
 	batch, err := l.Store.Read(ctx, topic, from, wait)
@@ -117,26 +119,26 @@
 }
 
 // poll asks the relay once.
-func (l *Log) poll(ctx context.Context, address string, from uint64) (feed.Batch, error) {
+func (l *Log) poll(ctx context.Context, address string, asked question) (*answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
 	defer cancel()
 	conn, err := l.connect(ctx, address)
 	if err != nil {
-		return feed.Batch{}, err
+		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	if err := writeFrame(conn, &question{From: from, WaitMs: pollWait.Milliseconds()}); err != nil {
-		return feed.Batch{}, err
+	if err := writeFrame(conn, &asked); err != nil {
+		return nil, err
 	}
 	var got answer
 	if err := readFrame(conn, &got); err != nil {
-		return feed.Batch{}, err
+		return nil, err
 	}
 	if !got.Current {
-		return feed.Batch{}, &StaleError{address}
+		return nil, &StaleError{address}
 	}
-	return feed.Batch{Records: got.Records, Next: got.Next}, nil
+	return &got, nil
 }
 
 // connect returns the connection to the relay, and opens one if there is none.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -68,7 +68,10 @@
 		var running context.Context
 		running, stop = context.WithCancel(ctx)
 		done := make(chan struct{})
-		go func() { defer close(done); (&relay.Server{Buffer: buffer}).Serve(running, listener) }()
+		go func() {
+			defer close(done)
+			(&relay.Server{Buffers: relay.Buffers{"t": buffer}}).Serve(running, listener)
+		}()
 		DeferCleanup(func() { stop(); <-done })
 		log = &relay.Log{
 			Store: behind, Buffer: relay.NewBuffer(), Relay: func() string { return listener.Addr().String() },
@@ -116,6 +119,28 @@
 		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
 	})
 
+	// Guards against a large configuration that a relay with a slow link sends to
+	// every instance of its zone.
+	It("reads large records from the store, and keeps the relay", func() {
+		buffer.Heard(time.Now())
+		buffer.Add(0, []feed.Record{{Key: "a", Value: []byte("1")}, {Key: "b", Value: make([]byte, 100_000)}})
+		batch, err := log.Read(ctx, "t", 1, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys(batch)).To(Equal([]string{"1", "2"}))
+		Expect(batch.Next).To(Equal(uint64(3)))
+		Expect(behind.reads.Load()).To(Equal(int32(1)))
+		Expect(lost.Load()).To(BeZero())
+	})
+
+	// Guards against records of one topic that are taken for those of another.
+	It("reads a topic that the relay does not follow from the store", func() {
+		buffer.Heard(time.Now())
+		buffer.Add(0, []feed.Record{{Key: "a", Value: []byte("1")}})
+		batch, err := log.Read(ctx, "other", 0, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys(batch)).To(Equal([]string{"0", "1", "2"}))
+	})
+
 	// Guards against records that are missing between what the relay holds and what
 	// this instance has read.
 	It("reads for itself when the relay does not hold the records", func() {
@@ -124,6 +149,7 @@
 		batch, err := log.Read(ctx, "t", 0, time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(keys(batch)).To(Equal([]string{"0", "1", "2"}))
+		Expect(lost.Load()).To(BeZero(), "a restarted relay is of use for the next read")
 	})
 
 	// Guards against a relay that is given up because its follower was stopped.
@@ -165,7 +191,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		running, stop := context.WithCancel(context.Background())
 		DeferCleanup(stop)
-		go (&relay.Server{Buffer: b}).Serve(running, listener)
+		go (&relay.Server{Buffers: relay.Buffers{"t": b}}).Serve(running, listener)
 		log := &relay.Log{
 			Store: &store{}, Buffer: relay.NewBuffer(), Relay: func() string { return listener.Addr().String() },
 			Lost: func(string, error) {},
--- a/relay/server.go
+++ b/relay/server.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// Server answers other instances from a buffer.
+// Server answers other instances from the buffers.
 type Server struct {
-	Buffer *Buffer
+	Buffers Buffers
 }
 
 const (
@@ -56,24 +56,29 @@
 
 // answer waits for records as long as the question allows.
 func (s *Server) answer(ctx context.Context, asked *question) answer {
+	buffer := s.Buffers[asked.Topic]
+	if buffer == nil {
+		return answer{}
+	}
 	wait := min(max(0, time.Duration(asked.WaitMs)*time.Millisecond), maxWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
-		batch, changed, ok := s.Buffer.since(time.Now(), asked.From)
-		if !ok {
+	for expired := false; ; {
+		f, ok := buffer.since(time.Now(), asked.From)
+		switch {
+		case !ok:
 			return answer{}
-		}
-		if len(batch.Records) > 0 {
-			return answer{Current: true, Next: batch.Next, Records: batch.Records}
+		case f.elsewhere:
+			return answer{Current: true, Next: asked.From, Elsewhere: true}
+		case expired || len(f.batch.Records) > 0:
+			return answer{Current: true, Next: f.batch.Next, Records: f.batch.Records}
 		}
 		select {
-		case <-changed:
+		case <-f.changed:
 		case <-ctx.Done():
 			return answer{}
 		case <-timer.C:
-			batch, _, ok = s.Buffer.since(time.Now(), asked.From)
-			return answer{Current: ok, Next: batch.Next, Records: batch.Records}
+			expired = true
 		}
 	}
 }
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -10,8 +10,9 @@
 	"fulmarhoist.example/feed"
 )
 
-// question asks for records from an offset on.
+// question asks for the records of a topic from an offset on.
 type question struct {
+	Topic  string `msgpack:"topic"`
 	From   uint64 `msgpack:"from"`
 	WaitMs int64  `msgpack:"wait_ms"`
 }
@@ -21,6 +22,8 @@
 	Current bool          `msgpack:"current"`
 	Next    uint64        `msgpack:"next"`
 	Records []feed.Record `msgpack:"records"`
+	// Elsewhere says that there are records, which have to be read from the store.
+	Elsewhere bool `msgpack:"elsewhere"`
 }
 
 // maxFrame bounds one message.
