relay: pass on the list of members

Change: an instance asks the relay of its zone for the members at the generation that the store told it, and reads them itself if the relay does not know that within 0.4 s.

--- a/internal/standin/cmd/standin/main.go
+++ b/internal/standin/cmd/standin/main.go
@@ -29,7 +29,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newTargetCommand(), newLogCommand(), newListCommand(), newRelayCommand(), newDemoCommand(), newMeasureCommand())
+	root.AddCommand(newTargetCommand(), newLogCommand(), newListCommand(), newRelayCommand(), newDemoCommand(), newMeasureCommand(), newSoakCommand())
 	return root
 }
 
--- a/internal/standin/relay/pump.go
+++ b/internal/standin/relay/pump.go
@@ -36,10 +36,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r.running.Go(func() { r.read(ctx, from, chunks) })
+	lost := false
 	for c := range chunks {
 		if !waitUntil(ctx, c.due) {
 			return
 		}
+		if lost = lost || r.loses(to); lost {
+			continue
+		}
 		if c.err != nil {
 			if errors.Is(c.err, io.EOF) {
 				_ = to.CloseWrite()
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -27,6 +27,9 @@
 	ModeSilence Mode = "silence"
 	// ModeSilenceAll stops the bytes of open and new connections.
 	ModeSilenceAll Mode = "silence-all"
+	// ModeOneWay passes bytes on towards the upstream only. A connection that lost
+	// bytes of the other direction carries none of it any more.
+	ModeOneWay Mode = "one-way"
 )
 
 // Setting is the part of a relay that can be changed while it runs.
@@ -53,7 +56,7 @@
 
 func (s Setting) check() error {
 	switch s.Mode {
-	case ModePass, ModeCut, ModeSilence, ModeSilenceAll:
+	case ModePass, ModeCut, ModeSilence, ModeSilenceAll, ModeOneWay:
 	default:
 		return &SettingError{Name: "mode", Problem: fmt.Sprintf("unknown value %q", s.Mode)}
 	}
@@ -138,7 +141,7 @@
 		r.port.SetSilence(endpoint.SilenceOpen)
 	case ModeSilenceAll:
 		r.port.SetSilence(endpoint.SilenceAll)
-	case ModePass:
+	case ModePass, ModeOneWay:
 		r.port.SetSilence(endpoint.SilenceNone)
 	}
 	return r.port.Admit()
@@ -150,6 +153,14 @@
 	return time.Duration(r.setting.DelayMS) * time.Millisecond
 }
 
+// loses tells whether bytes towards a connection are lost now.
+func (r *Relay) loses(to halfCloser) bool {
+	_, isDown := to.(*endpoint.Conn)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return isDown && r.setting.Mode == ModeOneWay
+}
+
 func (r *Relay) accept() {
 	for {
 		accepted, err := r.port.Accept()
--- /dev/null
+++ b/internal/standin/soak/instance.go
@@ -0,0 +1,197 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"fulmarhoist.example/internal/standin/relay"
+)
+
+// faultyRoute is a path through a relay, with the time until which its faults may
+// still show.
+type faultyRoute struct {
+	relay *relay.Relay
+	mu    sync.Mutex
+	until time.Time
+}
+
+func openRoute(upstream string) (*faultyRoute, error) {
+	r, err := relay.Start(relay.Settings{Listen: "127.0.0.1:0", Control: "127.0.0.1:0", Upstream: upstream})
+	if err != nil {
+		return nil, fmt.Errorf("start a relay: %w", err)
+	}
+	return &faultyRoute{relay: r}, nil
+}
+
+// harm applies a fault for a time, and heals it afterwards.
+func (r *faultyRoute) harm(setting relay.Setting, length time.Duration) {
+	r.mu.Lock()
+	r.until = later(r.until, time.Now().Add(length))
+	r.mu.Unlock()
+	_ = r.relay.Set(setting)
+	pause(length)
+	_ = r.relay.Set(relay.Setting{Mode: relay.ModePass})
+}
+
+// harmed tells whether a fault was there since the given time.
+func (r *faultyRoute) harmed(since time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.until.After(since)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// instance is one machine with an entry instance: the real program, in a process
+// of its own.
+type instance struct {
+	name, zone, ip string
+	callers        string // where callers connect
+	ready          string
+	directory      string
+	settings       string // path of the settings file
+	log            string // path of its output
+	program        string
+	store          *faultyRoute
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	upset   time.Time // faults of the process show until then
+	planned time.Time // of the last planned stop
+	crashes []string  // ends that nobody asked for
+	asked   bool      // the present process was told to end
+}
+
+func newInstance(number int, zone string, s *Settings, store string) (*instance, error) {
+	route, err := openRoute(store)
+	if err != nil {
+		return nil, err
+	}
+	i := &instance{
+		name: fmt.Sprintf("entry-%d", number), zone: zone, ip: fmt.Sprintf("127.0.%d.%d", 1+os.Getpid()%200, number),
+		program: filepath.Join(s.Bin, "fulmarhoistd"), store: route,
+	}
+	i.settings, i.log = filepath.Join(s.Dir, i.name+".conf"), filepath.Join(s.Dir, i.name+".log")
+	addresses := make([]string, 4)
+	for n := range addresses {
+		if addresses[n], err = freePort(i.ip); err != nil {
+			return nil, err
+		}
+	}
+	i.callers, i.ready, i.directory = addresses[0], addresses[1], addresses[2]
+	_, peers, _ := net.SplitHostPort(addresses[3])
+	lines := []string{
+		"self.node=" + i.name, "self.ip=" + i.ip, "self.zone=" + zone, "self.region=r", "self.limits.max_fds=4096",
+		"network.listen.front=" + i.callers, "network.listen.ready=" + i.ready, "network.listen.directory=" + i.directory,
+		"network.internal_ports=" + peers, "platform.platform.address=" + route.relay.Address(), "platform.platform.parts=12",
+		"platform.platform.min_ttl_ms=1000", "terms.policy_params.grace_s=6", "terms.policy_params.ttl_max_s=5",
+		"terms.policy_params.budget_ratio=0.2", "terms.policy_params.budget_extra=64",
+		"terms.policy_params.warmup_overshoot=1.5", "terms.policy_params.warmup_slack=5",
+	}
+	if err := os.WriteFile(i.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
+		return nil, fmt.Errorf("write the settings of %s: %w", i.name, err)
+	}
+	return i, nil
+}
+
+func freePort(ip string) (string, error) {
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", fmt.Errorf("find a free port: %w", err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+// start runs the program, unless it runs.
+func (i *instance) start() error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.process != nil {
+		return nil
+	}
+	out, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("open the log of %s: %w", i.name, err)
+	}
+	defer func() { _ = out.Close() }()
+	cmd := exec.Command(i.program, "entry")
+	cmd.Env = append(os.Environ(), "FULMARHOIST_CONFIG="+i.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", i.name, err)
+	}
+	i.process, i.ended, i.asked = cmd, make(chan struct{}), false
+	i.upset = later(i.upset, time.Now())
+	go i.watch(cmd, i.ended)
+	return nil
+}
+
+// watch notes the end of a process, and whether anyone asked for it.
+func (i *instance) watch(cmd *exec.Cmd, ended chan struct{}) {
+	err := cmd.Wait()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.asked {
+		i.crashes = append(i.crashes, fmt.Sprintf("%s ended by itself: %v", i.name, err))
+	}
+	i.process = nil
+	i.upset = later(i.upset, time.Now())
+	close(ended)
+}
+
+// signal sends a signal to the process and notes the time until which its effect
+// excuses the instance.
+func (i *instance) signal(s syscall.Signal, effect time.Duration) (ended <-chan struct{}, sent bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.process == nil {
+		return nil, false
+	}
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		i.asked = true
+	}
+	if s == syscall.SIGTERM {
+		i.planned = time.Now()
+	} else {
+		i.upset = later(i.upset, time.Now().Add(effect))
+	}
+	return i.ended, i.process.Process.Signal(s) == nil
+}
+
+// inTouch tells whether the instance ran undisturbed and reached the store for
+// the given time before now.
+func (i *instance) inTouch(now time.Time, span time.Duration) bool {
+	i.mu.Lock()
+	calm := i.process != nil && !i.asked && i.upset.Before(now.Add(-span))
+	i.mu.Unlock()
+	return calm && !i.store.harmed(now.Add(-span))
+}
+
+// undisturbed tells whether nothing but planned stops happened to the process
+// since the given time.
+func (i *instance) undisturbed(since time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.upset.Before(since)
+}
+
+func (i *instance) kill() {
+	if ended, sent := i.signal(syscall.SIGKILL, 0); sent {
+		<-ended
+	}
+}
--- a/node/membership.go
+++ b/node/membership.go
@@ -46,6 +46,7 @@
 	group   Group
 	roster  *fleet.Roster
 	health  *feed.Health
+	members *relay.Members
 	buffers relay.Buffers
 	ttl     time.Duration
 	logger  zerolog.Logger
@@ -98,7 +99,7 @@
 	if generation == m.generation {
 		return
 	}
-	settled, err := m.refresh(ctx)
+	settled, err := m.refresh(ctx, generation)
 	if err != nil {
 		m.report(err)
 		return
@@ -116,8 +117,8 @@
 
 // refresh reads the members. Soon after an outage those that have not returned yet
 // stay, and the result is false: the members have to be read again.
-func (m *membership) refresh(ctx context.Context) (settled bool, err error) {
-	members, err := m.group.Members(ctx)
+func (m *membership) refresh(ctx context.Context, generation uint64) (settled bool, err error) {
+	members, err := m.members.At(ctx, generation)
 	if err != nil {
 		return false, fmt.Errorf("read the members: %w", err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -198,11 +198,7 @@
 // relayed reads a topic, through another instance in a large zone.
 func (n *Node) relayed(topic string) feed.Log {
 	return &relay.Log{
-		Store: n.platform.Log, Buffer: n.buffers[topic], Relay: n.roster.Relay,
-		Lost: func(address string, err error) {
-			n.logger.Info().Str("event", "relay_lost").Str("topic", topic).Str("address", address).Err(err).
-				Msg("records are read from the store for a while")
-		},
+		Client: relayClient(n.roster, n.logger, topic), Store: n.platform.Log, Buffer: n.buffers[topic],
 	}
 }
 
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -82,6 +82,17 @@
 	return relay.NewBuffers(p.Topics.Operator, p.Topics.Targets)
 }
 
+// relayClient asks the instance that reads a topic for this one.
+func relayClient(roster *fleet.Roster, logger zerolog.Logger, topic string) relay.Client {
+	return relay.Client{
+		Relay: roster.Relay,
+		Lost: func(address string, err error) {
+			logger.Info().Str("event", "relay_lost").Str("topic", topic).Str("address", address).Err(err).
+				Msg("the store is read directly for a while")
+		},
+	}
+}
+
 func newRoster(s *Settings) *fleet.Roster { return fleet.NewRoster(selfOf(s)) }
 
 func newRegistry(s *Settings, bounds *currentBounds, roster *fleet.Roster) *registry.Registry {
@@ -181,6 +192,10 @@
 func newMembership(p membershipParts) *membership {
 	return &membership{
 		self: selfOf(p.Settings), group: p.Platform.Group, roster: p.Roster, health: p.Health, buffers: p.Buffers,
+		members: &relay.Members{
+			Client: relayClient(p.Roster, p.Logger, relay.TopicMembers), List: p.Platform.Group.Members,
+			Buffer: p.Buffers[relay.TopicMembers],
+		},
 		ttl: max(joinTTL, p.Settings.LeastTTL), logger: p.Logger,
 	}
 }
--- a/relay/buffer.go
+++ b/relay/buffer.go
@@ -47,11 +47,20 @@
 	heard   time.Time     // when the store last answered
 	asked   time.Time     // when another instance last asked
 	changed chan struct{} // closed and replaced when records are added
+	latest  bool          // the records before the first are of no use any more
 }
 
 // NewBuffer returns an empty buffer.
 func NewBuffer() *Buffer { return &Buffer{changed: make(chan struct{})} }
 
+// NewLatest returns an empty buffer for something of which only the newest state
+// counts. A reader that is behind gets that.
+func NewLatest() *Buffer {
+	b := NewBuffer()
+	b.latest = true
+	return b
+}
+
 // Heard records an answer of the store.
 func (b *Buffer) Heard(now time.Time) {
 	b.mu.Lock()
@@ -117,7 +126,7 @@
 	if now.Sub(b.heard) > staleAfter {
 		return found{}, false
 	}
-	f := found{batch: feed.Batch{Next: max(from, next)}, elsewhere: from < b.first, changed: b.changed}
+	f := found{batch: feed.Batch{Next: max(from, next)}, elsewhere: from < b.first && !b.latest, changed: b.changed}
 	for i := max(from, b.first); i < next; i++ {
 		h := &b.records[i-b.first]
 		f.elsewhere = f.elsewhere || h.large
@@ -126,12 +135,13 @@
 	return f, true
 }
 
-// Buffers holds a buffer for each topic. The set of topics does not change.
+// Buffers holds a buffer for each topic, and one for the list of members. The set
+// does not change.
 type Buffers map[string]*Buffer
 
-// NewBuffers returns empty buffers for the given topics.
+// NewBuffers returns empty buffers for the given topics and the list of members.
 func NewBuffers(topics ...string) Buffers {
-	all := Buffers{}
+	all := Buffers{TopicMembers: NewLatest()}
 	for _, topic := range topics {
 		all[topic] = NewBuffer()
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"fulmarhoist.example/feed"
+	"fulmarhoist.example/fleet"
 	"fulmarhoist.example/relay"
 )
 
@@ -74,8 +75,10 @@
 		}()
 		DeferCleanup(func() { stop(); <-done })
 		log = &relay.Log{
-			Store: behind, Buffer: relay.NewBuffer(), Relay: func() string { return listener.Addr().String() },
-			Lost: func(string, error) { lost.Add(1) },
+			Store: behind, Buffer: relay.NewBuffer(), Client: relay.Client{
+				Relay: func() string { return listener.Addr().String() },
+				Lost:  func(string, error) { lost.Add(1) },
+			},
 		}
 	})
 
@@ -193,11 +196,74 @@
 		DeferCleanup(stop)
 		go (&relay.Server{Buffers: relay.Buffers{"t": b}}).Serve(running, listener)
 		log := &relay.Log{
-			Store: &store{}, Buffer: relay.NewBuffer(), Relay: func() string { return listener.Addr().String() },
-			Lost: func(string, error) {},
+			Store: &store{}, Buffer: relay.NewBuffer(), Client: relay.Client{
+				Relay: func() string { return listener.Addr().String() },
+				Lost:  func(string, error) {},
+			},
 		}
 		batch, err := log.Read(context.Background(), "t", 598, time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(keys(batch)).To(Equal([]string{"598", "599"}))
 	})
 })
+
+var _ = Describe("Members", func() {
+	ctx := context.Background()
+	list := func(names ...string) (all []fleet.Member) {
+		for _, name := range names {
+			all = append(all, fleet.Member{Name: name, Zone: "z", Address: name + ":1", Relay: name + ":2"})
+		}
+		return all
+	}
+	var behind, reader *relay.Members
+	var reads atomic.Int32
+	var listed atomic.Pointer[[]fleet.Member]
+	BeforeEach(func() {
+		reads.Store(0)
+		read := func(context.Context) ([]fleet.Member, error) {
+			reads.Add(1)
+			return *listed.Load(), nil
+		}
+		buffers := relay.NewBuffers()
+		buffers.Heard(time.Now())
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		running, stop := context.WithCancel(ctx)
+		DeferCleanup(stop)
+		go (&relay.Server{Buffers: buffers}).Serve(running, listener)
+		reader = &relay.Members{
+			Client: relay.Client{Relay: func() string { return "" }}, List: read, Buffer: buffers[relay.TopicMembers],
+		}
+		behind = &relay.Members{
+			Client: relay.Client{
+				Relay: func() string { return listener.Addr().String() },
+				Lost:  func(string, error) {},
+			},
+			List: read, Buffer: relay.NewLatest(),
+		}
+	})
+	set := func(names ...string) { all := list(names...); listed.Store(&all) }
+
+	// Guards against a list that every instance of a zone reads at each change.
+	It("come from the relay if it knows the generation, or a later one", func() {
+		set("a", "b")
+		_, err := reader.At(ctx, 7)
+		Expect(err).NotTo(HaveOccurred())
+		for _, generation := range []uint64{5, 7} {
+			Expect(behind.At(ctx, generation)).To(Equal(list("a", "b")))
+		}
+		Expect(reads.Load()).To(Equal(int32(1)))
+	})
+
+	// Guards against a list that is older than what the store told this instance.
+	It("are read from the store if the relay does not know the generation soon", func() {
+		set("a", "b")
+		_, err := reader.At(ctx, 7)
+		Expect(err).NotTo(HaveOccurred())
+		set("a")
+		Expect(behind.At(ctx, 8)).To(Equal(list("a")))
+		time.AfterFunc(50*time.Millisecond, func() { set("b"); _, _ = reader.At(ctx, 9) })
+		Expect(behind.At(ctx, 9)).To(Equal(list("b")))
+		Expect(reads.Load()).To(Equal(int32(3)))
+	})
+})
