Bound health questions per target, count calls to the store, drop settings that nothing reads

Cause: the bound on health questions per server was read and not enforced; no metric told of calls to the store, of its age, or of what an instance knows; MemoryMB, Region and StorePartitions were read and not used. Change: target.MayAsk spreads the bound over all instances, with bursts of 10 s; a choice without an answer uses the remembered report. Metrics for calls by status, age of the store, configuration, members, candidates and waiting requests.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -65,6 +65,7 @@
 // one process share it. It is safe for concurrent use.
 type Health struct {
 	failedAt atomic.Int64 // monotime nanoseconds; 0 if no call failed yet
+	heardAt  atomic.Int64 // monotime nanoseconds of the last answer; 0 before the first
 
 	mu   sync.Mutex
 	down bool          // the last call got no usable answer
@@ -111,8 +112,19 @@
 	h.set(h.down, took >= slowCall)
 }
 
+// Age returns how long ago the store, or the relay that reads for this instance,
+// last answered; 0 before the first answer.
+func (h *Health) Age(now time.Time) time.Duration {
+	at := h.heardAt.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Duration(monotime.Nanos(now) - at)
+}
+
 // Succeeded records an answer and tells whether the store seemed down before.
-func (h *Health) Succeeded() (regained bool) {
+func (h *Health) Succeeded(now time.Time) (regained bool) {
+	h.heardAt.Store(monotime.Nanos(now))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	regained = h.down
@@ -219,7 +231,7 @@
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
-		if f.Health.Succeeded() {
+		if f.Health.Succeeded(time.Now()) {
 			f.Report(f.Topic, nil)
 		}
 		backoff = firstBackoff
--- a/node/membership.go
+++ b/node/membership.go
@@ -95,7 +95,7 @@
 	m.joins++
 	m.health.Took(time.Since(began))
 	m.buffers.Heard(time.Now())
-	m.health.Succeeded()
+	m.health.Succeeded(time.Now())
 	if generation == m.generation {
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,9 @@
 	Group   Group
 	Records Records
 	Headers Headers
+	// Calls has the given function told about each call to the store, with its
+	// status or 0 for no answer. It is called before the first call.
+	Calls func(observe func(call string, status int))
 	// Settings reads the settings again.
 	Settings func() (*Settings, error)
 	// Ready and Directory make the handlers that the platform and callers ask.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -66,6 +67,27 @@
 		Expect(second.addresses("az-1")).NotTo(ContainElement(second.settings.Callers))
 	})
 
+	// Guards against an operator who cannot see what an instance knows, or what it
+	// asks of the store.
+	It("serves metrics of requests, of the store and of what it knows", func() {
+		i := serving(newBackend("i-1"))
+		Expect(get(i).status).To(Equal(200))
+		response, err := http.Get("http://" + i.settings.Address + ":9464/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		page, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(And(
+			ContainSubstring(`fulmarhoist_store_calls_total{call="/v1/log-newest",status="200"} 2`),
+			ContainSubstring("fulmarhoist_config_version 1"),
+			ContainSubstring("fulmarhoist_members 1"),
+			ContainSubstring("fulmarhoist_candidates 1"),
+			ContainSubstring(`fulmarhoist_served_total{route="/get/",result="answered"} 1`),
+			MatchRegexp(`fulmarhoist_store_age_seconds [0-9.e-]+`),
+			MatchRegexp(`fulmarhoist_served_seconds_count\{route="/get/"\} 1`),
+		))
+	})
+
 	// Guards against calls to the store that grow with the instances of a zone.
 	It("reads the store once for a large zone, and follows both topics", func() {
 		b := newBackend("i-1")
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -143,9 +143,9 @@
 func (r *rig) start(number int) *instance {
 	address := fmt.Sprintf("127.0.0.%d", number)
 	s := &node.Settings{
-		Instance: fmt.Sprintf("entry-%d", number), Zone: "az-1", Region: "r", Address: address, MaxFiles: 1000,
+		Instance: fmt.Sprintf("entry-%d", number), Zone: "az-1", Address: address, MaxFiles: 1000,
 		Callers: freePort(address), Ready: freePort(address), Directory: freePort(address), Store: r.address,
-		StorePartitions: 12, LeastTTL: time.Second, PeerPort: portOf(freePort(address)),
+		LeastTTL: time.Second, PeerPort: portOf(freePort(address)),
 		Bounds: node.Bounds{
 			Grace: 2 * time.Second, DirectoryTTL: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 64, ColdOvershoot: 1, ColdSlack: 5,
 		},
--- a/node/settings.go
+++ b/node/settings.go
@@ -12,9 +12,7 @@
 type Settings struct {
 	Instance string
 	Zone     string
-	Region   string
 	Address  string // IP address of the machine
-	MemoryMB float64
 	MaxFiles float64
 
 	// Callers, Ready and Directory are the addresses to listen on.
@@ -24,10 +22,9 @@
 
 	PeerPort string // port for other instances; "" if there is none
 
-	Store           string // address of the platform's store
-	StorePartitions int
-	LeastTTL        time.Duration // least lifetime of a group member at the store
-	Bounds          Bounds
+	Store    string        // address of the platform's store
+	LeastTTL time.Duration // least lifetime of a group member at the store
+	Bounds   Bounds
 }
 
 // Bounds are figures of the promises that the platform sets.
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -45,8 +45,11 @@
 	// retryMargin leaves a part of the budget for repeats unused, since the
 	// instances count in windows of their own.
 	retryMargin = 0.8
-	// leastMembers bounds the share of the fixed part of the budget that one
-	// instance takes, so that one that does not know the others yet stays modest.
+	// questionMargin leaves a part of the bound on health questions unused.
+	questionMargin = 0.8
+	// leastMembers bounds the share of the fixed part of the budget, and of the
+	// health questions, that one instance takes, so that one that does not know the
+	// others yet stays modest.
 	leastMembers = 4
 )
 
@@ -118,11 +121,34 @@
 	return pools
 }
 
-func newProber(p *Platform, pools *targetconn.Pools, g *tables, metrics *telemetry.Metrics) *prober.Prober {
+// proberParts is what a prober is made of.
+type proberParts struct {
+	dig.In
+
+	Platform *Platform
+	Pools    *targetconn.Pools
+	Tables   *tables
+	Bounds   *currentBounds
+	Roster   *fleet.Roster
+	Metrics  *telemetry.Metrics
+}
+
+func newProber(p proberParts) *prober.Prober {
 	return &prober.Prober{
-		Pools: pools, Protocol: p.Headers, HealthPath: g.healthPath,
-		Probed: metrics.Counter("fulmarhoist_probes_total").Inc,
+		Pools: p.Pools, Protocol: p.Platform.Headers, HealthPath: p.Tables.healthPath,
+		Interval: func() time.Duration { return questionInterval(p.Bounds.Load().ProbesPerSecond, p.Roster.View()) },
+		Probed:   p.Metrics.Counter("fulmarhoist_probes_total").Inc,
+	}
+}
+
+// questionInterval is the share of this instance in the bound on health questions
+// per target.
+func questionInterval(perSecond float64, view *fleet.View) time.Duration {
+	if perSecond <= 0 {
+		return 0
 	}
+	count := max(view.Peak, len(view.Members), leastMembers)
+	return time.Duration(float64(count) / (perSecond * questionMargin) * float64(time.Second))
 }
 
 func newSender(p *Platform, pools *targetconn.Pools, logger zerolog.Logger) *targetconn.Sender {
@@ -216,9 +242,12 @@
 	Membership *membership
 	Server     *ingress.Server
 	Stop       *gateway.Stop
+	Tables     *tables
+	Registry   *registry.Registry
 }
 
 func newNode(p nodeParts) *Node {
+	measure(p.Metrics, p.Platform, p.Tables, p.Roster, p.Registry, p.Health)
 	return &Node{
 		settings: p.Settings, bounds: p.Bounds, platform: p.Platform, logger: p.Logger, metrics: p.Metrics, roster: p.Roster,
 		health: p.Health, buffers: p.Buffers, applier: p.Applier, membership: p.Membership, server: p.Server, stop: p.Stop,
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -35,6 +35,9 @@
 	Protocol Protocol
 	// HealthPath returns the path of a service's health endpoint.
 	HealthPath func(service string) string
+	// Interval returns the least mean time between two questions to one target; 0
+	// sets no bound.
+	Interval func() time.Duration
 	// Probed is called for each question; it may be nil.
 	Probed func()
 
@@ -101,12 +104,15 @@
 // ask asks targets without a new report for one, and waits for a short time.
 func (s *Prober) ask(ctx context.Context, path string, targets []*target.Target, wait time.Duration) {
 	now := time.Now()
+	interval := s.Interval()
 	var waiting []chan struct{}
 	for _, t := range targets {
 		if age, known := t.ReportAge(now); known && age < freshFor {
 			continue
 		}
-		waiting = append(waiting, s.start(t, path))
+		if done := s.start(t, path, interval); done != nil {
+			waiting = append(waiting, done)
+		}
 	}
 	if len(waiting) == 0 {
 		return
@@ -125,13 +131,17 @@
 }
 
 // start asks a target, unless it is being asked already, and returns a channel
-// that is closed at the end of the question.
-func (s *Prober) start(t *target.Target, path string) chan struct{} {
+// that is closed at the end of the question. It returns nil if the target was
+// asked too often.
+func (s *Prober) start(t *target.Target, path string, interval time.Duration) chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if done := s.pending[t]; done != nil {
 		return done
 	}
+	if !t.MayAsk(time.Now(), interval) {
+		return nil
+	}
 	if s.pending == nil {
 		s.pending = map[*target.Target]chan struct{}{}
 	}
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -67,7 +67,7 @@
 	BeforeEach(func() {
 		pools := targetconn.NewPools()
 		DeferCleanup(func() { pools.Retain(nil) })
-		s = &prober.Prober{Pools: pools, Protocol: protocol{}, HealthPath: func(string) string { return "/health" }}
+		s = &prober.Prober{Pools: pools, Protocol: protocol{}, HealthPath: func(string) string { return "/health" }, Interval: func() time.Duration { return 0 }}
 		of = service.New("orders", 10, 10, service.LeastInFlight{})
 	})
 	serve := func(near, far []*target.Target) {
@@ -100,6 +100,18 @@
 		Expect(one.asked.Load()).To(BeZero())
 	})
 
+	// Guards against more questions than the platform allows for a server.
+	It("asks a server no more often than its interval allows, and still chooses", func() {
+		one := &server{name: "a", slowdown: "1"}
+		serve([]*target.Target{one.target("a")}, nil)
+		s.Interval = func() time.Duration { return time.Hour }
+		for range 5 {
+			Expect(choose(0)).To(Equal("a"))
+			time.Sleep(10 * time.Millisecond) // a report is as good as new for 8 ms
+		}
+		Expect(one.asked.Load()).To(Equal(int32(1)))
+	})
+
 	// Guards against traffic between zones that saves no time, and against a zone
 	// whose own servers are all slow.
 	It("takes a server of another zone only if it is worth the traffic", func() {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -93,6 +93,9 @@
 // call it.
 func (r *Registry) Service(name string) *service.Service { return (*r.services.Load())[name] }
 
+// All returns all services by name. Any goroutine may call it; the map is immutable.
+func (r *Registry) All() Services { return *r.services.Load() }
+
 // Change tells what an entry changed.
 type Change uint8
 
--- a/target/report_test.go
+++ b/target/report_test.go
@@ -102,3 +102,32 @@
 		Expect(ok).To(BeTrue())
 	})
 })
+
+var _ = Describe("MayAsk", func() {
+	// Guards against health questions above the bound when all instances ask as
+	// often as they may, in bursts.
+	It("keeps the questions of all instances within the bound over a day", func() {
+		const instances, perSecond, day = 5, 60, 60 * time.Second
+		interval := instances * time.Second * 10 / (perSecond * 8) // four fifths of the bound
+		began := time.Now()
+		asked := 0
+		for range instances {
+			t := target.NewWarm(target.Spec{Name: "t", Slots: 2}, 3)
+			for at := time.Duration(0); at < day; at += time.Millisecond {
+				// Half of the time nothing is asked, then as much as allowed.
+				if at/(5*time.Second)%2 == 1 && t.MayAsk(began.Add(at), interval) {
+					asked++
+				}
+			}
+		}
+		Expect(asked).To(BeNumerically("<=", perSecond*day.Seconds()))
+		Expect(asked).To(BeNumerically(">", 0.5*perSecond*day.Seconds()))
+	})
+
+	It("sets no bound without an interval", func() {
+		t := target.NewWarm(target.Spec{Name: "t", Slots: 2}, 3)
+		for range 1000 {
+			Expect(t.MayAsk(time.Now(), 0)).To(BeTrue())
+		}
+	})
+})
