fleet: send nothing to cold targets before the members are known

Ruled out: the margin; one instance alone stays below 9 a second. Change: the view of the members is settled after four joins; before, the pace of cold targets is 'never'. Result: the spec of fleet fails without the change (the pace was 122 ms) and passes with it.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,9 @@
 	// Peak is the largest number of members seen for a while. An instance that
 	// lost touch with the store goes on serving, and its share must stay free.
 	Peak int
+	// Settled is false while the members may be more than are known, after the
+	// start of this instance.
+	Settled bool
 }
 
 // peakWindow is how long a member that is gone still counts.
@@ -66,11 +69,22 @@
 	peak := max(1, len(r.lastSeen))
 	changed = !slices.Equal(old.Members, next)
 	if changed || old.Peak != peak {
-		r.view.Store(&View{Members: next, Peak: peak})
+		r.view.Store(&View{Members: next, Peak: peak, Settled: old.Settled})
 	}
 	return changed
 }
 
+// Settle records that all members are known. It is called by the goroutine that
+// calls Replace.
+func (r *Roster) Settle() {
+	next := *r.View()
+	next.Settled = true
+	r.view.Store(&next)
+}
+
+// Sharers is the number of instances among which a bound is shared.
+func (v *View) Sharers() int { return max(v.Peak, len(v.Members)) }
+
 // MaxAddresses is the most addresses that a caller uses of one answer.
 const MaxAddresses = 64
 
@@ -163,10 +177,10 @@
 func (r *Roster) Pace(targetID string, bound ColdBound) time.Duration {
 	view := r.View()
 	allowed := int((bound.PerSecond*bound.Overshoot + bound.Slack) * coldMargin)
-	count := max(view.Peak, len(view.Members))
+	count := view.Sharers()
 	second := time.Duration(coldSpacing * float64(time.Second))
 	switch {
-	case allowed < 1:
+	case allowed < 1 || !view.Settled:
 		return never
 	case allowed >= count:
 		return second / time.Duration(allowed/count)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -90,6 +90,7 @@
 			for i := range count {
 				r := fleet.NewRoster(member(i))
 				r.Replace(now, members(count))
+				r.Settle()
 				if pace := r.Pace(target, bound); pace >= 0 {
 					total += int(time.Second/pace) + 1
 				}
@@ -107,6 +108,19 @@
 			}
 		})
 
+		// Guards against a cold target that gets the share of all from each of many
+		// instances that start at the same moment and know only themselves.
+		It("sends nothing before the members are known", func() {
+			r := fleet.NewRoster(member(0))
+			Expect(r.Pace("t", bound)).To(BeNumerically("<", 0))
+			r.Replace(now, members(1))
+			Expect(r.Pace("t", bound)).To(BeNumerically("<", 0))
+			r.Settle()
+			r.Replace(now, members(7))
+			Expect(r.Pace("t", bound)).To(BeNumerically(">", 0))
+			Expect(r.View().Sharers()).To(Equal(7))
+		})
+
 		// Guards against a cold target that no instance sends work to.
 		It("lets some instance send to every target", func() {
 			for t := range 50 {
--- a/node/membership.go
+++ b/node/membership.go
@@ -31,7 +31,8 @@
 	relayInterval = 400 * time.Millisecond
 	relayUse      = 2 * time.Second
 	// earlyInterval is the time between the first joins, earlyJoins in number. The
-	// store lists a member only after others have joined again.
+	// store lists a member only after others have joined again; after these joins
+	// all that started at the same moment are known.
 	earlyInterval = 500 * time.Millisecond
 	earlyJoins    = 4
 	// callTimeout bounds one step.
@@ -97,6 +98,7 @@
 	m.buffers.Heard(time.Now())
 	m.health.Succeeded(time.Now())
 	if generation == m.generation {
+		m.settle()
 		return
 	}
 	settled, err := m.refresh(ctx, generation)
@@ -106,6 +108,14 @@
 	}
 	if settled {
 		m.generation = generation
+		m.settle()
+	}
+}
+
+// settle tells the roster that all members are known, once enough joins were made.
+func (m *membership) settle() {
+	if m.joins >= earlyJoins && !m.roster.View().Settled {
+		m.roster.Settle()
 	}
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog/diode"
 )
 
 var _ = Describe("Node", func() {
@@ -88,6 +91,21 @@
 		))
 	})
 
+	// Guards against requests that wait for a log that nobody reads. The command
+	// writes its log through the same buffer.
+	It("goes on when nobody reads its output", func() {
+		unread, far := net.Pipe()
+		DeferCleanup(func() { _, _ = unread.Close(), far.Close() })
+		var dropped atomic.Int64
+		r.logs = diode.NewWriter(far, 16, 0, func(missed int) { dropped.Add(int64(missed)) })
+		i := serving(newBackend("i-1"))
+		for range 100 {
+			Expect(get(i).status).To(Equal(200))
+		}
+		_ = unread.Close() // the buffer goes on with its first line and notices the others
+		Eventually(dropped.Load, "2s").Should(BeNumerically(">", 0))
+	})
+
 	// Guards against calls to the store that grow with the instances of a zone.
 	It("reads the store once for a large zone, and follows both topics", func() {
 		b := newBackend("i-1")
--- a/node/rig_test.go
+++ b/node/rig_test.go
@@ -87,10 +87,11 @@
 	address string
 	version int
 	ids     atomic.Int64
+	logs    io.Writer // of instances that are started
 }
 
 func newRig() *rig {
-	r := &rig{store: keyedstore.New()}
+	r := &rig{store: keyedstore.New(), logs: GinkgoWriter}
 	server := httptest.NewServer(r.store.Handler())
 	DeferCleanup(server.Close)
 	DeferCleanup(server.CloseClientConnections)
@@ -152,7 +153,7 @@
 	}
 	p := platform.New(s)
 	p.Settings = func() (*node.Settings, error) { return s, nil }
-	n, err := node.New(s, p, GinkgoWriter)
+	n, err := node.New(s, p, r.logs)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	i := &instance{settings: s, stop: cancel, done: make(chan struct{})}
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -103,8 +103,7 @@
 		OwnZone: s.Zone, RemoteRoundTrip: remoteRoundTrip, QueueLimit: queueLimit,
 		RetryPercent: int(math.Floor(100 * s.Bounds.RetryRatio * retryMargin)),
 		RetryMinimum: func() int {
-			view := roster.View()
-			return int(bounds.Load().RetryExtra * retryMargin / float64(max(view.Peak, len(view.Members), leastMembers)))
+			return int(bounds.Load().RetryExtra * retryMargin / float64(max(roster.View().Sharers(), leastMembers)))
 		},
 		Pace: func(targetID string, spec *routing.Service) time.Duration {
 			now := bounds.Load()
@@ -147,7 +146,7 @@
 	if perSecond <= 0 {
 		return 0
 	}
-	count := max(view.Peak, len(view.Members), leastMembers)
+	count := max(view.Sharers(), leastMembers)
 	return time.Duration(float64(count) / (perSecond * questionMargin) * float64(time.Second))
 }
 
