--- a/internal/standin/soak/ledger.go
+++ b/internal/standin/soak/ledger.go
@@ -101,6 +101,9 @@
 // checkBounds checks the rules with a time bound. The caller holds the mutex.
 func (l *ledger) checkBounds(a *arrival, r *request) {
 	calm := l.calm(r.instance, a.at)
+	if calm {
+		l.counts["judged by time"]++
+	}
 	if left, leaves := l.leftAt[a.target]; leaves && calm && a.at.Sub(left) > drainBound {
 		l.violate("DRAIN", "%s reaches %s %v after it began to leave, from %s", a.id, a.target.id, a.at.Sub(left), r.instance.name)
 	}
--- a/internal/standin/soak/operator.go
+++ b/internal/standin/soak/operator.go
@@ -52,10 +52,12 @@
 	defer o.mu.Unlock()
 	if !plain && random.Float64() < addedShare {
 		if n := len(o.added); n > 0 && random.IntN(2) == 0 {
-			return o.added[n-1].route, o.added[n-1].at
+			picked := o.added[random.IntN(n)]
+			return picked.route, picked.at
 		}
 		if n := len(o.gone); n > 0 {
-			return o.gone[n-1].route, o.gone[n-1].at
+			picked := o.gone[random.IntN(n)]
+			return picked.route, picked.at
 		}
 	}
 	return fixedRoutes[random.IntN(len(fixedRoutes))], time.Time{}
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -246,7 +246,7 @@
 }
 
 func newNode(p nodeParts) *Node {
-	measure(p.Metrics, p.Platform, p.Tables, p.Roster, p.Registry, p.Health)
+	measure(&p)
 	return &Node{
 		settings: p.Settings, bounds: p.Bounds, platform: p.Platform, logger: p.Logger, metrics: p.Metrics, roster: p.Roster,
 		health: p.Health, buffers: p.Buffers, applier: p.Applier, membership: p.Membership, server: p.Server, stop: p.Stop,
