soak: usual terms for faults, bounds and stalls

Cause: read as a newcomer; names such as harm, upset, calm and pulse needed explaining. Change: renamed; the faults and checks are the same.

--- a/internal/standin/cmd/standin/soak.go
+++ b/internal/standin/cmd/standin/soak.go
@@ -27,7 +27,7 @@
 	var count int
 	cmd := &cobra.Command{
 		Use:   "soak",
-		Short: "Harm entry instances at random and check the promises to users",
+		Short: "Inject random faults into entry instances and check the promises to users",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			var broken []uint64
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// actors is how many series of faults overlap.
-	actors = 3
+	// seriesCount is how many series of faults overlap.
+	seriesCount = 3
 	// kindsOfRun is how many kinds of fault one run draws from. With few, some runs
-	// harm the store and others have long spans in which bounds on time hold.
+	// disturb the store and others have long spans in which bounds on time hold.
 	kindsOfRun = 5
 	// faultPause is the mean pause between two faults of one series.
 	faultPause = 700 * time.Millisecond
@@ -28,7 +28,7 @@
 // fault is one kind of trouble or of planned work.
 type fault struct {
 	name   string
-	strike func(r *run, random *rand.Rand) string // returns what was hit
+	inject func(r *run, random *rand.Rand) string // returns what it affected
 }
 
 // faults lists all kinds. The order is part of what a seed means.
@@ -42,11 +42,11 @@
 	{"store refuses", refuseStore},
 	{"store silent", silenceStore},
 	{"store forgets", forgetStore},
-	{"path to the store harmed", harmStoreRoute},
+	{"path to the store impaired", impairStoreRoute},
 	{"target crashes", crashTarget},
 	{"target leaves", drainTarget},
 	{"target frozen", freezeTarget},
-	{"path to a target harmed", harmTargetRoute},
+	{"path to a target impaired", impairTargetRoute},
 	{"configuration changed", changeConfig},
 	{"configurations in quick succession", stormConfig},
 	{"zone evacuated", evacuateZone},
@@ -79,14 +79,14 @@
 	return kinds, nil
 }
 
-// trouble strikes one fault after the other until the context ends.
-func (r *run) trouble(ctx context.Context, kinds []fault, series uint64) {
+// injectFaults injects one fault after the other until the context ends.
+func (r *run) injectFaults(ctx context.Context, kinds []fault, series uint64) {
 	random := rand.New(rand.NewPCG(r.settings.Seed, series))
 	for ctx.Err() == nil {
 		f := kinds[random.IntN(len(kinds))]
 		began := time.Now()
-		hit := f.strike(r, random)
-		r.event(began, f.name, hit)
+		affected := f.inject(r, random)
+		r.event(began, f.name, affected)
 		wait(ctx, time.Duration(random.ExpFloat64()*float64(faultPause)))
 	}
 }
@@ -157,32 +157,32 @@
 
 func refuseStore(r *run, random *rand.Rand) string {
 	length := between(random, 300*time.Millisecond, 3*time.Second)
-	r.ledger.upset(time.Now().Add(length))
+	r.ledger.disturbStore(time.Now().Add(length))
 	r.store.Refuse([]int{503, 429}[random.IntN(2)])
 	pause(length)
 	r.store.Refuse(0)
-	r.ledger.upset(time.Now())
+	r.ledger.disturbStore(time.Now())
 	return length.String()
 }
 
 func silenceStore(r *run, random *rand.Rand) string {
 	length := between(random, 300*time.Millisecond, 3*time.Second)
-	r.ledger.upset(time.Now().Add(length))
+	r.ledger.disturbStore(time.Now().Add(length))
 	r.store.Silence(true)
 	pause(length)
 	r.store.Silence(false)
-	r.ledger.upset(time.Now())
+	r.ledger.disturbStore(time.Now())
 	return length.String()
 }
 
 func forgetStore(r *run, random *rand.Rand) string {
 	topic := []string{"keyed.op", "keyed.servers"}[random.IntN(2)]
-	r.ledger.upset(time.Now())
+	r.ledger.disturbStore(time.Now())
 	r.store.Forget(topic)
 	return topic
 }
 
-var harms = []relay.Setting{
+var impairments = []relay.Setting{
 	{Mode: relay.ModeCut},
 	{Mode: relay.ModeSilence},
 	{Mode: relay.ModeSilenceAll},
@@ -190,20 +190,20 @@
 	{Mode: relay.ModePass, DelayMS: 60},
 }
 
-func harmRoute(route *faultyRoute, random *rand.Rand) string {
-	setting, length := harms[random.IntN(len(harms))], between(random, 300*time.Millisecond, 3*time.Second)
-	route.harm(setting, length)
+func impairRoute(route *faultyRoute, random *rand.Rand) string {
+	setting, length := impairments[random.IntN(len(impairments))], between(random, 300*time.Millisecond, 3*time.Second)
+	route.impair(setting, length)
 	return fmt.Sprintf("%s for %v", setting.Mode, length)
 }
 
-func harmStoreRoute(r *run, random *rand.Rand) string {
+func impairStoreRoute(r *run, random *rand.Rand) string {
 	i := r.anyInstance(random)
-	return i.name + " " + harmRoute(i.store, random)
+	return i.name + " " + impairRoute(i.store, random)
 }
 
-func harmTargetRoute(r *run, random *rand.Rand) string {
+func impairTargetRoute(r *run, random *rand.Rand) string {
 	s := r.anySlot(random)
-	return s.port.Address() + " " + harmRoute(s.route, random)
+	return s.port.Address() + " " + impairRoute(s.route, random)
 }
 
 // crashTarget ends a target; another process, at times of the other service, takes
--- a/internal/standin/soak/instance.go
+++ b/internal/standin/soak/instance.go
@@ -31,8 +31,8 @@
 	return &faultyRoute{relay: r}, nil
 }
 
-// harm applies a fault for a time, and heals it afterwards.
-func (r *faultyRoute) harm(setting relay.Setting, length time.Duration) {
+// impair applies a fault for a time, and heals it afterwards.
+func (r *faultyRoute) impair(setting relay.Setting, length time.Duration) {
 	r.mu.Lock()
 	r.until = later(r.until, time.Now().Add(length))
 	r.mu.Unlock()
@@ -41,8 +41,8 @@
 	_ = r.relay.Set(relay.Setting{Mode: relay.ModePass})
 }
 
-// harmed tells whether a fault was there since the given time.
-func (r *faultyRoute) harmed(since time.Time) bool {
+// impaired tells whether a fault was there since the given time.
+func (r *faultyRoute) impaired(since time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.until.After(since)
@@ -67,13 +67,13 @@
 	program        string
 	store          *faultyRoute
 
-	mu      sync.Mutex
-	process *exec.Cmd
-	ended   chan struct{}
-	upset   time.Time // faults of the process show until then; planned stops are none
-	changed time.Time // when a process last began or ended
-	crashes []string  // ends that nobody asked for
-	asked   bool      // the present process was told to end
+	mu             sync.Mutex
+	process        *exec.Cmd
+	ended          chan struct{}
+	disturbedUntil time.Time // faults of the process show until then; planned stops are none
+	changed        time.Time // when a process last began or ended
+	crashes        []string  // ends that nobody asked for
+	asked          bool      // the present process was told to end
 }
 
 func newInstance(number int, zone string, s *Settings, store string) (*instance, error) {
@@ -160,7 +160,7 @@
 		i.asked = true
 	}
 	if s != syscall.SIGTERM {
-		i.upset = later(i.upset, time.Now().Add(effect))
+		i.disturbedUntil = later(i.disturbedUntil, time.Now().Add(effect))
 	}
 	return i.ended, i.process.Process.Signal(s) == nil
 }
@@ -170,9 +170,9 @@
 func (i *instance) inTouch(now time.Time, span time.Duration) bool {
 	i.mu.Lock()
 	since := now.Add(-span)
-	calm := i.process != nil && !i.asked && i.upset.Before(since) && i.changed.Before(since)
+	bounded := i.process != nil && !i.asked && i.disturbedUntil.Before(since) && i.changed.Before(since)
 	i.mu.Unlock()
-	return calm && !i.store.harmed(since)
+	return bounded && !i.store.impaired(since)
 }
 
 // undisturbed tells whether nothing but planned stops happened to the process
@@ -180,7 +180,7 @@
 func (i *instance) undisturbed(since time.Time) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.upset.Before(since)
+	return i.disturbedUntil.Before(since)
 }
 
 func (i *instance) kill() {
--- a/internal/standin/soak/ledger.go
+++ b/internal/standin/soak/ledger.go
@@ -36,16 +36,16 @@
 // ledger holds what callers sent and what targets ran, and checks one against the
 // other. It is safe for concurrent use.
 type ledger struct {
-	mu         sync.Mutex
-	requests   map[string]*request
-	leftAt     map[*target]time.Time // when the store acknowledged that a target leaves
-	evacuated  map[string]time.Time
-	removed    map[string]time.Time // routes that the operator removed
-	lastSecond map[*target][]time.Time
-	storeUntil time.Time // faults of the store show until then
-	stalled    time.Time // when this machine last gave no time to the soak
-	violations []string
-	counts     map[string]int
+	mu                  sync.Mutex
+	requests            map[string]*request
+	leftAt              map[*target]time.Time // when the store acknowledged that a target leaves
+	evacuated           map[string]time.Time
+	removed             map[string]time.Time // routes that the operator removed
+	lastSecond          map[*target][]time.Time
+	storeDisturbedUntil time.Time // faults of the store show until then
+	stalled             time.Time // when this machine last gave no time to the soak
+	violations          []string
+	counts              map[string]int
 }
 
 func newLedger() *ledger {
@@ -66,11 +66,11 @@
 	l.requests[r.id] = r
 }
 
-// calm tells whether rules with a time bound hold for an instance. The caller
+// boundsApply tells whether rules with a time bound hold for an instance. The caller
 // holds the mutex.
-func (l *ledger) calm(i *instance, now time.Time) bool {
+func (l *ledger) boundsApply(i *instance, now time.Time) bool {
 	since := now.Add(-touch)
-	return l.storeUntil.Before(since) && l.stalled.Before(since) && i.inTouch(now, touch)
+	return l.storeDisturbedUntil.Before(since) && l.stalled.Before(since) && i.inTouch(now, touch)
 }
 
 // ran records that a target runs a request.
@@ -100,17 +100,17 @@
 
 // checkBounds checks the rules with a time bound. The caller holds the mutex.
 func (l *ledger) checkBounds(a *arrival, r *request) {
-	calm := l.calm(r.instance, a.at)
-	if calm {
+	bounded := l.boundsApply(r.instance, a.at)
+	if bounded {
 		l.counts["judged by time"]++
 	}
-	if left, leaves := l.leftAt[a.target]; leaves && calm && a.at.Sub(left) > drainBound {
+	if left, leaves := l.leftAt[a.target]; leaves && bounded && a.at.Sub(left) > drainBound {
 		l.violate("DRAIN", "%s reaches %s %v after it began to leave, from %s", a.id, a.target.id, a.at.Sub(left), r.instance.name)
 	}
-	if out, evacuated := l.evacuated[a.target.zone]; evacuated && calm && a.at.Sub(out) > evacuateBound {
+	if out, evacuated := l.evacuated[a.target.zone]; evacuated && bounded && a.at.Sub(out) > evacuateBound {
 		l.violate("EVAC", "%s reaches %s in %s %v after its evacuation", a.id, a.target.id, a.target.zone, a.at.Sub(out))
 	}
-	if gone, removed := l.removed[r.path]; removed && calm && r.sent.Sub(gone) > configBound {
+	if gone, removed := l.removed[r.path]; removed && bounded && r.sent.Sub(gone) > configBound {
 		l.violate("CONFIG", "%s runs on route %s, removed %v before it was sent", a.id, r.path, r.sent.Sub(gone))
 	}
 	if a.at.Sub(a.target.born) > coldTime {
@@ -163,7 +163,7 @@
 	case o.status == 404:
 		if o.added.IsZero() {
 			l.violate("DENIED", "%s got 404 on %s from %s", r.id, r.path, r.instance.name)
-		} else if l.calm(r.instance, now) && r.sent.Sub(o.added) > configBound && l.removed[r.path].IsZero() {
+		} else if l.boundsApply(r.instance, now) && r.sent.Sub(o.added) > configBound && l.removed[r.path].IsZero() {
 			l.violate("CONFIG", "%s got 404 from %s, %v after its route was acknowledged", r.id, r.instance.name, r.sent.Sub(o.added))
 		}
 	}
@@ -187,11 +187,11 @@
 	return fmt.Sprint(o.status)
 }
 
-// upset notes that faults of the store show until the given time.
-func (l *ledger) upset(until time.Time) {
+// disturbStore notes that faults of the store show until the given time.
+func (l *ledger) disturbStore(until time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.storeUntil = later(l.storeUntil, until)
+	l.storeDisturbedUntil = later(l.storeDisturbedUntil, until)
 }
 
 // change runs a function under the mutex.
--- a/internal/standin/soak/ledger_test.go
+++ b/internal/standin/soak/ledger_test.go
@@ -94,10 +94,10 @@
 	It("excuses an instance that was disturbed, and a time in which the store was", func() {
 		send("a", false)
 		l.leftAt[t] = began
-		i.upset = began.Add(14 * time.Second)
+		i.disturbedUntil = began.Add(14 * time.Second)
 		run("a", 5*time.Second)
-		i.upset = time.Time{}
-		l.storeUntil = began.Add(14 * time.Second)
+		i.disturbedUntil = time.Time{}
+		l.storeDisturbedUntil = began.Add(14 * time.Second)
 		run("a", 5*time.Second)
 		Expect(rules()).To(BeEmpty())
 		run("a", 8*time.Second)
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -1,8 +1,8 @@
 // Package soak runs entry instances as separate processes against stand-ins of
-// the store and of targets, harms them at random from outside, and checks the
+// the store and of targets, impairments them at random from outside, and checks the
 // promises to users while it does: from what callers get and what targets run.
 //
-// A seed fixes which faults strike, in which order and for how long. The order in
+// A seed fixes which faults are injected, in which order and for how long. The order in
 // which processes run is not fixed, so that a seed may fail once in many runs.
 package soak
 
@@ -48,9 +48,9 @@
 	recoverBound = 15 * time.Second
 	// recovered is how many requests in a row must be answered then.
 	recovered = 20
-	// pulseInterval and pulseSlack find out that the machine gives the soak no time.
-	pulseInterval = 20 * time.Millisecond
-	pulseSlack    = 250 * time.Millisecond
+	// stallProbe and stallThreshold find out that the machine gives the soak no time.
+	stallProbe     = 20 * time.Millisecond
+	stallThreshold = 250 * time.Millisecond
 	// startTimeout bounds the start of all instances.
 	startTimeout = 30 * time.Second
 )
@@ -63,7 +63,7 @@
 	operator   *operator
 	instances  []*instance
 	slots      []*slot
-	lifetimes  atomic.Int32
+	started    atomic.Int32
 	evacuating atomic.Bool
 	began      time.Time
 
@@ -127,7 +127,7 @@
 
 func (e *StartError) Error() string { return e.Name + " did not start" }
 
-// play sends requests, strikes faults, and waits for the recovery.
+// play sends requests, injects faults, and waits for the recovery.
 func (r *run) play(ctx context.Context) error {
 	kinds, err := drawKinds(r.settings.Seed, r.settings.Kinds)
 	if err != nil {
@@ -139,14 +139,14 @@
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	var callers, series sync.WaitGroup
-	callers.Go(func() { r.pulse(callersCtx) })
+	callers.Go(func() { r.detectStalls(callersCtx) })
 	for n := range r.settings.Callers {
 		callers.Go(func() { r.newCaller(n + 1).work(callersCtx) })
 	}
 	faultsCtx, stopFaults := context.WithTimeout(ctx, r.settings.Length)
 	defer stopFaults()
-	for n := range actors {
-		series.Go(func() { r.trouble(faultsCtx, kinds, uint64(n+1)) })
+	for n := range seriesCount {
+		series.Go(func() { r.injectFaults(faultsCtx, kinds, uint64(n+1)) })
 	}
 	series.Wait()
 	if ctx.Err() == nil && !r.served(ctx, recoverBound) {
@@ -181,13 +181,13 @@
 	return row >= recovered
 }
 
-// pulse notes when this machine gives no time to the soak: bounds on time cannot
+// detectStalls notes when this machine gives no time to the soak: bounds on time cannot
 // be judged then.
-func (r *run) pulse(ctx context.Context) {
+func (r *run) detectStalls(ctx context.Context) {
 	for ctx.Err() == nil {
 		began := time.Now()
-		wait(ctx, pulseInterval)
-		if now := time.Now(); now.Sub(began) > pulseInterval+pulseSlack {
+		wait(ctx, stallProbe)
+		if now := time.Now(); now.Sub(began) > stallProbe+stallThreshold {
 			r.ledger.change(func() { r.ledger.stalled = now; r.ledger.counts["stalls of this machine"]++ })
 		}
 	}
@@ -199,7 +199,7 @@
 	if other && r.targetsOf(service) > 1 {
 		service = map[string]string{"orders": "archive", "archive": "orders"}[service]
 	}
-	t := newTarget(fmt.Sprintf("t-%d", r.lifetimes.Add(1)), service, s.zone, r.store, r.ledger)
+	t := newTarget(fmt.Sprintf("t-%d", r.started.Add(1)), service, s.zone, r.store, r.ledger)
 	if err := s.begin(t); err != nil {
 		r.violate("SOAK", "%v", err)
 		return nil
@@ -263,7 +263,7 @@
 	down := named.process == nil && named.changed.Before(time.Now().Add(-directoryBound))
 	named.mu.Unlock()
 	r.ledger.change(func() {
-		if down && r.ledger.calm(asked, time.Now()) {
+		if down && r.ledger.boundsApply(asked, time.Now()) {
 			r.ledger.violate("DRAIN", "the directory of %s names %s, which ended over %v ago", asked.name, named.name, directoryBound)
 		}
 	})
@@ -273,11 +273,11 @@
 	r.ledger.change(func() { r.ledger.violate(rule, format, args...) })
 }
 
-func (r *run) event(began time.Time, name, hit string) {
+func (r *run) event(began time.Time, name, affected string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.events = append(r.events, fmt.Sprintf("%7.3f to %7.3f s  %s: %s",
-		began.Sub(r.began).Seconds(), time.Since(r.began).Seconds(), name, hit))
+		began.Sub(r.began).Seconds(), time.Since(r.began).Seconds(), name, affected))
 }
 
 // stopAtOnce stops all instances as planned at the same time.
