feed: notice the return of the store within 0.9 s

Result: TestNoticesTheReturnOfTheStoreSoon fails with the old pauses (1.18 s; bound 0.9 s) and passes.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -185,11 +185,12 @@
 }
 
 const (
-	// firstBackoff and maxBackoff bound the pause after a failed call. The longest
-	// pause is half as long again; changes must be known within three seconds of
-	// the store's return.
+	// firstBackoff and maxBackoff bound the time from the begin of a failed call to
+	// the next one; the longest is half as long again. What left meanwhile must be
+	// out of use within three seconds of the store's return, and entries that are
+	// gone are kept for nearly two.
 	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = 900 * time.Millisecond
+	maxBackoff   = 400 * time.Millisecond
 	// listTimeout bounds one listing of all keys.
 	listTimeout = 3 * time.Second
 	// readMargin is how much longer than its wait a read may take.
@@ -210,6 +211,7 @@
 	next, listed := uint64(0), false
 	wait := f.Wait
 	for ctx.Err() == nil {
+		began := time.Now()
 		event, after, err := f.step(ctx, next, listed, wait)
 		if err != nil {
 			var trimmed *TrimmedError
@@ -227,7 +229,7 @@
 			if f.Health.Failed(time.Now()) {
 				f.Report(f.Topic, err)
 			}
-			sleep(ctx, backoff/2+rand.N(backoff))
+			sleep(ctx, max(firstBackoff, backoff/2+rand.N(backoff)-time.Since(began)))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -22,6 +22,7 @@
 	silent  bool
 	deaf    bool // reads that begin now miss the next record
 	fail    error
+	dial    time.Duration // how long a call takes that fails
 	reads   int
 	changed chan struct{}
 }
@@ -65,8 +66,10 @@
 			<-ctx.Done()
 			return feed.Batch{}, ctx.Err()
 		case l.fail != nil:
-			defer l.mu.Unlock()
-			return feed.Batch{}, l.fail
+			failure, dial := l.fail, l.dial
+			l.mu.Unlock()
+			time.Sleep(dial)
+			return feed.Batch{}, failure
 		case from < l.first:
 			l.mu.Unlock()
 			return feed.Batch{}, &feed.TrimmedError{Topic: topic, From: from}
@@ -270,3 +273,25 @@
 		Expect(r.keys()).To(Equal([]string{"a"}))
 	})
 }
+
+// Guards against a target that is used after it left because its instance noticed
+// late that it reaches the store again. An instance is excused for 3 s after a cut;
+// entries that are gone are kept for 1.9 s, and looked at every 0.2 s.
+func TestNoticesTheReturnOfTheStoreSoon(t *testing.T) {
+	const bound = 900 * time.Millisecond
+	for offset := range 40 {
+		away := 5*time.Second + time.Duration(offset)*37*time.Millisecond
+		run(t, &fakeLog{dial: 400 * time.Millisecond}, func(r *rig) {
+			time.Sleep(time.Second)
+			r.log.change(func() { r.log.fail = errors.New("cut off") })
+			time.Sleep(away)
+			returned := time.Now()
+			r.log.change(func() { r.log.fail, r.log.records = nil, []feed.Record{{Key: "a", Value: []byte("1")}} })
+			time.Sleep(5 * time.Second)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			Expect(r.events).To(HaveLen(2))
+			Expect(r.at[1].Sub(returned)).To(BeNumerically("<=", bound), "away for %v", away)
+		})
+	}
+}
--- a/internal/standin/soak/soak.go
+++ b/internal/standin/soak/soak.go
@@ -140,6 +140,7 @@
 	defer stopCallers()
 	var callers, series sync.WaitGroup
 	callers.Go(func() { r.detectStalls(callersCtx) })
+	callers.Go(func() { r.watchUsage(callersCtx) })
 	for n := range r.settings.Callers {
 		callers.Go(func() { r.newCaller(n + 1).work(callersCtx) })
 	}
