prober: bound health questions over all targets, not for each

Change: target.Rate bounds the questions of an instance to all targets together. The same specs pass, with the rate in place of the target.

--- a/node/metrics.go
+++ b/node/metrics.go
@@ -18,13 +18,7 @@
 		return 0
 	})
 	m.Gauge("fulmarhoist_members", func() float64 { return float64(len(p.Roster.View().Members)) })
-	m.Gauge("fulmarhoist_candidates", func() float64 {
-		count := 0
-		for _, s := range p.Registry.All() {
-			count += len(s.View().Candidates)
-		}
-		return float64(count)
-	})
+	m.Gauge("fulmarhoist_candidates", func() float64 { return float64(p.Registry.Candidates()) })
 	m.Gauge("fulmarhoist_waiting", func() float64 {
 		count := 0
 		for _, s := range p.Registry.All() {
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -129,25 +129,29 @@
 	Tables   *tables
 	Bounds   *currentBounds
 	Roster   *fleet.Roster
+	Registry *registry.Registry
 	Metrics  *telemetry.Metrics
 }
 
 func newProber(p proberParts) *prober.Prober {
 	return &prober.Prober{
 		Pools: p.Pools, Protocol: p.Platform.Headers, HealthPath: p.Tables.healthPath,
-		Interval: func() time.Duration { return questionInterval(p.Bounds.Load().ProbesPerSecond, p.Roster.View()) },
-		Probed:   p.Metrics.Counter("fulmarhoist_probes_total").Inc,
+		Interval: func() time.Duration {
+			return questionInterval(p.Bounds.Load().ProbesPerSecond, p.Registry.Candidates(), p.Roster.View())
+		},
+		Probed: p.Metrics.Counter("fulmarhoist_probes_total").Inc,
 	}
 }
 
-// questionInterval is the share of this instance in the bound on health questions
-// per target.
-func questionInterval(perSecond float64, view *fleet.View) time.Duration {
-	if perSecond <= 0 {
+// questionInterval is the share of this instance in the health questions that all
+// instances may ask all targets. Some targets are asked more often than others: the
+// bound is a mean.
+func questionInterval(perSecond float64, targets int, view *fleet.View) time.Duration {
+	if perSecond <= 0 || targets == 0 {
 		return 0
 	}
 	count := max(view.Sharers(), leastMembers)
-	return time.Duration(float64(count) / (perSecond * questionMargin) * float64(time.Second))
+	return time.Duration(float64(count) / (perSecond * questionMargin * float64(targets)) * float64(time.Second))
 }
 
 func newSender(p *Platform, pools *targetconn.Pools, logger zerolog.Logger) *targetconn.Sender {
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -35,12 +35,13 @@
 	Protocol Protocol
 	// HealthPath returns the path of a service's health endpoint.
 	HealthPath func(service string) string
-	// Interval returns the least mean time between two questions to one target; 0
+	// Interval returns the least mean time between two questions to any targets; 0
 	// sets no bound.
 	Interval func() time.Duration
 	// Probed is called for each question; it may be nil.
 	Probed func()
 
+	rate    target.Rate // of questions
 	mu      sync.Mutex
 	pending map[*target.Target]chan struct{}
 }
@@ -131,15 +132,15 @@
 }
 
 // start asks a target, unless it is being asked already, and returns a channel
-// that is closed at the end of the question. It returns nil if the target was
-// asked too often.
+// that is closed at the end of the question. It returns nil if too many questions
+// were asked.
 func (s *Prober) start(t *target.Target, path string, interval time.Duration) chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if done := s.pending[t]; done != nil {
 		return done
 	}
-	if !t.MayAsk(time.Now(), interval) {
+	if !s.rate.Take(time.Now(), interval) {
 		return nil
 	}
 	if s.pending == nil {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -96,6 +96,15 @@
 // All returns all services by name. Any goroutine may call it; the map is immutable.
 func (r *Registry) All() Services { return *r.services.Load() }
 
+// Candidates returns how many targets may get work. Any goroutine may call it.
+func (r *Registry) Candidates() int {
+	count := 0
+	for _, s := range r.All() {
+		count += len(s.View().Candidates)
+	}
+	return count
+}
+
 // Change tells what an entry changed.
 type Change uint8
 
--- a/target/target.go
+++ b/target/target.go
@@ -102,7 +102,6 @@
 	usualSlowdown atomic.Uint64 // average of the reported slowdowns, as float64 bits
 	usualOthers   atomic.Uint64 // average of the others' requests inside, as float64 bits
 	askedAt       atomic.Int64  // unanswered question for a report, monotime nanoseconds; 0 if none
-	questionsAt   atomic.Int64  // time that the questions asked so far are worth, monotime nanoseconds
 	failing       atomic.Uint64 // smoothed share of failed requests, as float64 bits
 }
 
