ingress: the spec of leaving waits until its request was read

Traced from the failed line (the server had left within 7 ms, before the handler ran). Change: the spec waits until the handler has the request; its checks are the same.

--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -212,12 +212,17 @@
 
 	// Guards against a planned stop that cuts a request, or waits for idle callers.
 	It("finishes requests in flight and closes idle connections when it leaves", func() {
-		release := make(chan struct{})
-		start(func(context.Context, *ingress.Request) *ingress.Reply { <-release; return reply(200, "done") })
+		began, release := make(chan struct{}), make(chan struct{})
+		start(func(context.Context, *ingress.Request) *ingress.Reply {
+			close(began)
+			<-release
+			return reply(200, "done")
+		})
 		_, idleReader := dial()
 		conn, reader := dial()
 		_, _ = io.WriteString(conn, get("/1"))
 		Eventually(server.Open).Should(Equal(2))
+		Eventually(began).Should(BeClosed()) // a request that is not read yet may cross the close
 		left := make(chan struct{})
 		go func() { defer close(left); server.Leave(context.Background()) }()
 		_, err := idleReader.ReadByte()
