target: record what a server announces in its responses

Cause: the entry path learned only from the store that a server leaves, and ignored Retry-After on a server's 503. A server that said so in its answers got requests until its entry changed.

Permit.MaySend refuses both, so that a request that was admitted just before goes elsewhere. The own interface marks draining targets by the same method.

--- a/exchange/links.go
+++ b/exchange/links.go
@@ -51,7 +51,7 @@
 // generation has announced it. It has no effect if a later process has taken
 // its place.
 func (l *Links) MarkDraining(t *target.Target, generation uint32) {
-	if t.Transition(generation, target.StateLeaving, 0) {
+	if t.MarkLeaving(generation) {
 		l.onDraining(t)
 	}
 }
--- a/target/target.go
+++ b/target/target.go
@@ -100,6 +100,7 @@
 	serverColdUntil  atomic.Int64 // the server is known or assumed to be cold until this time
 	pacingInterval   atomic.Int64 // minimum time between permits while the server is cold, in nanoseconds
 	nextColdPermitAt atomic.Int64 // while the server is cold, no permit is given before this time
+	pausedUntil      atomic.Int64 // the server has asked for no requests before this time
 
 	report       atomic.Pointer[receivedReport]
 	avgSlowdown  atomic.Uint64 // moving average of the reported slowdowns, as float64 bits
@@ -165,7 +166,7 @@
 
 // Admit returns a permit if the target accepts one more request now.
 func (t *Target) Admit(now time.Time) (Permit, bool) {
-	if monotime.Nanos(now) < t.blockedUntil.Load() {
+	if monotime.Nanos(now) < t.blockedUntil.Load() || t.paused(now) {
 		return Permit{}, false
 	}
 	intervalTaken := false // once, even if the compare-and-swap is repeated
@@ -199,13 +200,13 @@
 	}
 }
 
-// MaySend reports whether the request may still be sent: the target has not
-// restarted since the permit was given and, if it is cold, the lease is still
-// valid. It must be called directly before the first write, because this process
-// may have been paused since Admit.
+// MaySend reports whether the request may still be sent: since the permit was
+// given, the target has not restarted, announced that it is leaving or asked for a
+// pause, and, if it is cold, the lease is still valid. It must be called directly
+// before the first write, because this process may have been paused since Admit.
 func (p Permit) MaySend(now time.Time) bool {
 	w := stateWord(p.Target.stateWord.Load())
-	return w.generation() == p.Generation && p.Target.allows(w, now)
+	return w.generation() == p.Generation && w.state() != StateLeaving && p.Target.allows(w, now) && !p.Target.paused(now)
 }
 
 // allows reports whether the state allows sending a request now. A cold target
@@ -466,5 +467,6 @@
 // stale by the time it is used; only Admit is authoritative.
 func (t *Target) Admits(now time.Time) bool {
 	w := stateWord(t.stateWord.Load())
-	return w.inFlight() < w.limit() && t.allows(w, now) && t.pacingIntervalElapsed(now) && monotime.Nanos(now) >= t.blockedUntil.Load()
+	return w.inFlight() < w.limit() && t.allows(w, now) && t.pacingIntervalElapsed(now) &&
+		monotime.Nanos(now) >= t.blockedUntil.Load() && !t.paused(now)
 }
