exchange: refuse a request at once when all targets have asked for a pause

Cause: a request waited in the queue for its whole queue timeout although it was known that no target would take it in time.

Change: service.View.PausedUntil tells the earliest end; a request that could not wait until then is refused as not run, also while it waits. Its Retry-After is the time until the first target takes requests again, at most 1 s, because the caller may come back to an instance that was not asked for a pause.

Test: exchange, 'A request whose targets have all asked for a pause'.

--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -43,6 +43,7 @@
 const (
 	ReasonNoTarget         Reason = "no-target"
 	ReasonQueueFull        Reason = "queue-full"
+	ReasonTargetsPaused    Reason = "targets-paused"
 	ReasonDeadline         Reason = "deadline"
 	ReasonRetriesSpent     Reason = "retries-spent"
 	ReasonDeclined         Reason = "declined-by-target"
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -286,6 +286,13 @@
 	queue := x.Service.Queue
 	queued := x.QueueRequest
 	queued.Deadline, queued.WakeEpoch = x.Contract.Terms.Deadline, wakeEpoch
+	giveUpAt := queued.Deadline
+	if queued.QueueTimeout > 0 {
+		giveUpAt = earlier(giveUpAt, now.Add(queued.QueueTimeout))
+	}
+	if refusal := x.refusePaused(now, giveUpAt); refusal != nil {
+		return target.Permit{}, refusal
+	}
 	waiter, err := queue.JoinAt(now, queued)
 	if err != nil {
 		return target.Permit{}, x.Contract.Refuse(queueReason(err))
@@ -312,6 +319,10 @@
 				queue.Leave(waiter)
 				return permit, nil
 			}
+			if refusal := x.refusePaused(time.Now(), giveUpAt); refusal != nil {
+				queue.Leave(waiter)
+				return target.Permit{}, refusal
+			}
 		case <-timeout.C:
 			queue.Leave(waiter)
 			return target.Permit{}, x.Contract.Refuse(contract.ReasonNoTarget)
@@ -322,6 +333,27 @@
 	}
 }
 
+// refusePaused refuses a request if all targets have asked for a pause that ends
+// after the time at which the request would stop waiting. It returns nil if the
+// request may wait.
+func (x *Exchange) refusePaused(now, giveUpAt time.Time) *contract.Refusal {
+	pausedUntil, paused := x.Service.View().PausedUntil(now)
+	if !paused || pausedUntil.Before(giveUpAt) {
+		return nil
+	}
+	refusal := x.Contract.Refuse(contract.ReasonTargetsPaused)
+	refusal.RetryAfter = pausedUntil.Sub(now)
+	return refusal
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // newQueueTimer returns a timer that ends the wait in the queue. If the timeout
 // is 0, it never fires.
 func newQueueTimer(timeout time.Duration) *time.Timer {
--- a/exchange/wait_test.go
+++ b/exchange/wait_test.go
@@ -11,9 +11,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"go.opentelemetry.io/otel/trace/noop"
+
 	"fulmarhoist.example/config"
 	"fulmarhoist.example/contract"
 	"fulmarhoist.example/exchange"
+	"fulmarhoist.example/service"
+	"fulmarhoist.example/target"
+	"fulmarhoist.example/zone"
 )
 
 // slowReader returns the first half of the body, waits, and returns the second.
@@ -151,3 +156,63 @@
 		Expect(response.Status).To(Equal(http.StatusOK))
 	})
 })
+
+// noTarget is a Chooser that finds no target.
+type noTarget struct{}
+
+func (noTarget) Choose(context.Context, *service.Service, exchange.Criteria) (target.Permit, bool) {
+	return target.Permit{}, false
+}
+
+var _ = Describe("A request whose targets have all asked for a pause", func() {
+	var a, b *target.Target
+	var x *exchange.Exchange
+
+	BeforeEach(func() {
+		warm := func(name string) *target.Target {
+			return target.NewWarm(target.Spec{Name: name, Slots: 1, Links: 2}, 2)
+		}
+		a, b = warm("a"), warm("b")
+		svc := service.New("orders", 10, 10, service.LeastInFlight{})
+		svc.Replace(service.NewView(1, []*zone.Zone{{Targets: []*target.Target{a, b}}}))
+		x = &exchange.Exchange{
+			Contract: contract.New(idempotentTerms(5 * time.Second)), Service: svc, Chooser: noTarget{}, Crashes: contract.NewFingerprints(),
+			Tracer: noop.NewTracerProvider().Tracer("test"), QueueRequest: service.QueueRequest{QueueTimeout: 2 * time.Second},
+		}
+	})
+	pause := func(t *target.Target, duration time.Duration) {
+		t.ObserveNotice(time.Now(), 1, target.Notice{Pause: duration}, 0)
+	}
+
+	// Guards against a request that waits although it is known that no target takes
+	// it in time.
+	It("is refused at once if the pauses last longer than it could wait", func(ctx SpecContext) {
+		pause(a, 4*time.Second)
+		pause(b, 3*time.Second)
+		began := time.Now()
+		_, refusal := x.Run(ctx, get("/status"))
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		Expect(refusal.Reason).To(Equal(contract.ReasonTargetsPaused))
+		Expect(refusal.Outcome).To(Equal(contract.OutcomeNotRun))
+		Expect(refusal.RetryAfter).To(BeNumerically("~", 3*time.Second, 500*time.Millisecond), "when the first target takes requests again")
+	})
+
+	It("is refused while it waits", func(ctx SpecContext) {
+		began := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() { pause(a, time.Minute); pause(b, time.Minute) })
+		_, refusal := x.Run(ctx, get("/status"))
+		Expect(time.Since(began)).To(BeNumerically("~", 150*time.Millisecond, 100*time.Millisecond))
+		Expect(refusal.Reason).To(Equal(contract.ReasonTargetsPaused))
+		Expect(x.Service.Queue.Len()).To(BeZero())
+	})
+
+	// Guards against refusing a request although a target may soon be free for it.
+	It("waits if a target takes requests, or will do so in time", func(ctx SpecContext) {
+		pause(a, time.Minute)
+		pause(b, time.Second)
+		began := time.Now()
+		_, refusal := x.Run(ctx, get("/status"))
+		Expect(time.Since(began)).To(BeNumerically(">=", 2*time.Second))
+		Expect(refusal.Reason).To(Equal(contract.ReasonNoTarget))
+	})
+})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,6 +85,10 @@
 	// not retry at the same time.
 	minRetryAfter    = 60 * time.Millisecond
 	retryAfterSpread = 140 * time.Millisecond
+	// maxRetryAfter bounds the Retry-After time of a request that cannot be served
+	// for longer: its targets have asked only this instance for a pause, and the
+	// caller may come back to another one.
+	maxRetryAfter = time.Second
 	// queueTimeoutDivisor sets how long a request may wait for a target before
 	// it is refused: the latency goal of its route divided by this number. A
 	// request that waits longer is late in any case, and its caller could
@@ -196,12 +200,12 @@
 }
 
 // retryAfter returns the Retry-After time of a refused request, or 0 if the
-// request may have run.
+// request may have run. It is random, so that callers do not return together.
 func retryAfter(refusal *contract.Refusal) time.Duration {
 	if refusal.Outcome != contract.OutcomeNotRun {
 		return 0
 	}
-	return minRetryAfter + rand.N(retryAfterSpread)
+	return min(max(minRetryAfter, refusal.RetryAfter), maxRetryAfter) + rand.N(retryAfterSpread)
 }
 
 // requestLog collects the log fields of one request.
--- a/service/service.go
+++ b/service/service.go
@@ -41,6 +41,25 @@
 	return v
 }
 
+// PausedUntil returns the earliest end of a pause if all targets that are not
+// leaving have asked for one, and false otherwise.
+func (v *View) PausedUntil(now time.Time) (earliest time.Time, paused bool) {
+	for i := range v.Candidates {
+		t := v.Candidates[i].Target
+		if t.Leaving() {
+			continue
+		}
+		until, targetPaused := t.PausedUntil(now)
+		if !targetPaused {
+			return time.Time{}, false
+		}
+		if !paused || until.Before(earliest) {
+			earliest, paused = until, true
+		}
+	}
+	return earliest, paused
+}
+
 // Policy chooses a target and takes a permit from it. Implementations are safe
 // for concurrent use. The caller passes a random word instead of a generator, so
 // that tests can reproduce a choice.
