platform: refuse odd entries at the boundary and follow the others

Cause: ports 0, -1 and 99999, 10^9 slots, a warm-up of 10^300 ms and a start time or sequence number after which all entries of the real server looked old were taken in. One item of a listing that was not in base64, one truncated record, or one odd row among the members made the whole response unusable, so that the follower asked again for ever. float64 to int64 conversions out of range differ between arm64 and x86-64, and NaN passed in settings and headers.

Items, rows and records are decoded one by one, and what cannot be read is skipped with a log line; a read that cannot be decoded leads to a new listing.

An entry that is refused removes the target of its key, as before: it names no server to use.

--- a/node/applier.go
+++ b/node/applier.go
@@ -26,7 +26,8 @@
 type RecordDecoder interface {
 	OperatorKey(key string) OperatorKey
 	Config(value []byte) (*routing.Config, error)
-	Target(id string, value []byte) (registry.Entry, error)
+	// Target decodes the entry of a target; now is the time of day.
+	Target(now time.Time, id string, value []byte) (registry.Entry, error)
 }
 
 // Topics holds the names of the topics that an instance follows.
@@ -238,7 +239,7 @@
 		a.removeTarget(now, record.Key, outageEnd, "entry removed")
 		return
 	}
-	entry, err := a.decoder.Target(record.Key, record.Value)
+	entry, err := a.decoder.Target(now, record.Key, record.Value)
 	if err != nil {
 		a.logger.Warn().Str("event", "target_entry_unusable").Str("target", record.Key).Err(err).
 			Msg("invalid target entry; target removed if it was registered")
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -5,12 +5,16 @@
 	"time"
 )
 
-// registerMetrics registers the metrics of the components of a node.
+// registerMetrics registers the metrics of the components of a node, and what is
+// observed at the client of the store.
 func registerMetrics(p *nodeDeps) {
 	m := p.Metrics
 	p.Platform.ObserveCalls(func(call string, status int) {
 		m.Counter(fmt.Sprintf(`fulmarhoist_store_calls_total{call=%q,status="%d"}`, call, status)).Inc()
 	})
+	p.Platform.ObserveSkipped(func(topic string, err error) {
+		p.Logger.Warn().Str("event", "store_record_skipped").Str("topic", topic).Err(err).Msg("malformed part of a response of the store skipped")
+	})
 	m.Gauge("fulmarhoist_config_version", func() float64 {
 		if table := p.Tables.Load(); table != nil {
 			return float64(table.Config.Version)
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,10 @@
 	// store, with the HTTP status, or 0 if there was no response. It must be
 	// called before the first call to the store.
 	ObserveCalls func(observe func(call string, status int))
+	// ObserveSkipped registers a function that is called for each malformed part
+	// of a response of the store that was skipped. It must be called before the
+	// first call to the store.
+	ObserveSkipped func(observe func(topic string, err error))
 	// LoadSettings reads the current settings.
 	LoadSettings func() (*Settings, error)
 	// ReadyHandler returns the handler of the platform's readiness check, and
