targetconn: read notices of all responses, bound what endless ones cost

Cause: each connection buffered up to 1 MiB of a body before its head was judged, so that 200 connections to targets that send without end used several hundred MiB, more than half of a machine. A body that was too long and unsigned left the goroutine of its connection waiting for ever. Bytes that are no health response had no effect on the choice of the target.

Change: all connections share 48 MiB for bodies beyond 64 KiB each; an unsigned or foreign body is read up to 64 KiB, that of a health response up to 16 KiB. A broken health response counts as a failure. A streamed response that the target does not end in time counts as a failure of the target, not as a success. The head of each response, also of one that belongs to no request, is read for notices.

--- a/internal/standin/soak/caller.go
+++ b/internal/standin/soak/caller.go
@@ -141,6 +141,7 @@
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	o.status, o.signature, o.body, o.err = response.StatusCode, response.Header.Get(headerSignature), string(data), err
+	o.leaving = response.Header.Get(headerLeaving) != ""
 	return o
 }
 
--- a/internal/standin/soak/checker.go
+++ b/internal/standin/soak/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -27,6 +28,10 @@
 	// directoryBound is how long a directory may list an instance whose process
 	// has ended.
 	directoryBound = faultGracePeriod + 3*time.Second
+	// pauseReaction is how long after it was asked for a pause an instance may still
+	// send requests, and maxPausedArrivals how many may come later.
+	pauseReaction     = 500 * time.Millisecond
+	maxPausedArrivals = 2
 	// answerGracePeriod is how long after its deadline a request may be
 	// unanswered.
 	answerGracePeriod = time.Second
@@ -52,8 +57,10 @@
 	evacuatedAt        map[string]time.Time    // by zone
 	routeRemovedAt     map[string]time.Time    // by the path prefix of the route
 	recentColdArrivals map[*target][]time.Time // within the last second, while cold
-	storeFaultUntil    time.Time               // effects of store faults are expected until then
-	lastStallAt        time.Time               // when the test machine last stalled the soak itself
+	leavingPassedOn    map[link]time.Time      // when the instance first passed on a response that said that the target leaves
+	pauses             map[link]*pauseWindow
+	storeFaultUntil    time.Time // effects of store faults are expected until then
+	lastStallAt        time.Time // when the test machine last stalled the soak itself
 	violations         []string
 	counts             map[string]int // counters of the result
 }
@@ -62,9 +69,23 @@
 	return &checker{
 		requests: map[string]*request{}, drainAckedAt: map[*target]time.Time{}, evacuatedAt: map[string]time.Time{},
 		routeRemovedAt: map[string]time.Time{}, recentColdArrivals: map[*target][]time.Time{}, counts: map[string]int{},
+		leavingPassedOn: map[link]time.Time{}, pauses: map[link]*pauseWindow{},
 	}
 }
 
+// link is an instance and the id of a target that has responded to it.
+type link struct {
+	instance *instance
+	targetID string
+}
+
+// pauseWindow is the time in which a target wants no requests from an instance.
+type pauseWindow struct {
+	askedAt  time.Time
+	until    time.Time
+	arrivals int // requests of the instance later than pauseReaction after askedAt
+}
+
 // addViolation records a violation of a rule. The caller holds the mutex.
 func (c *checker) addViolation(rule, format string, args ...any) {
 	c.violations = append(c.violations, rule+": "+fmt.Sprintf(format, args...))
@@ -144,12 +165,67 @@
 	}
 }
 
+// recordArrival records that a request reaches a target, and checks that the target
+// had not told the instance to send none.
+func (c *checker) recordArrival(a *arrival) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[a.id]
+	if r == nil {
+		return
+	}
+	from := link{r.instance, a.target.id}
+	if passedOnAt, leaving := c.leavingPassedOn[from]; leaving && r.sentAt.Sub(passedOnAt) > drainBound && r.instance.runningSince(passedOnAt) && c.lastStallAt.Before(passedOnAt) {
+		c.addViolation("DRAIN", "request %s reaches target %s, sent %v after %s passed on that the target leaves, limit %v",
+			a.id, a.target.id, r.sentAt.Sub(passedOnAt), r.instance.name, drainBound)
+	}
+	if window := c.pauses[from]; window != nil && a.arrivedAt.After(window.askedAt.Add(pauseReaction)) && a.arrivedAt.Before(window.until) {
+		window.arrivals++
+		if window.arrivals > maxPausedArrivals && r.instance.runningSince(window.askedAt) && c.lastStallAt.Before(window.askedAt) && !a.target.path.impairedSince(window.askedAt) {
+			c.addViolation("BUDGET", "request %s is number %d to reach target %s from %s, %v after it asked for a pause until %v after that, limit %d",
+				a.id, window.arrivals, a.target.id, r.instance.name, a.arrivedAt.Sub(window.askedAt), window.until.Sub(window.askedAt), maxPausedArrivals)
+		}
+	}
+}
+
+// recordPauseRequest records that a target has refused a request and asked its
+// instance for a pause.
+func (c *checker) recordPauseRequest(t *target, requestID string, now, until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.requests[requestID]
+	if r == nil {
+		return
+	}
+	c.counts["pauses asked for"]++
+	from := link{r.instance, t.id}
+	if window := c.pauses[from]; window != nil && now.Before(window.until) {
+		return // requests within the pause are checked against its first answer
+	}
+	c.pauses[from] = &pauseWindow{askedAt: now, until: until}
+}
+
+// recordLeaving records that an instance has passed on a response that said that
+// the target leaves. The caller holds the mutex.
+func (c *checker) recordLeaving(i *instance, o *outcome) {
+	targetID, _, signed := strings.Cut(o.signature, ".")
+	if !o.leaving || !signed {
+		return
+	}
+	c.counts["leaving passed on"]++
+	from := link{i, targetID}
+	if c.leavingPassedOn[from].IsZero() || !i.runningSince(c.leavingPassedOn[from]) {
+		c.leavingPassedOn[from] = time.Now()
+	}
+}
+
 // outcome is what a caller got for a request.
 type outcome struct {
 	status       int
 	signature    string // of the target that answered
 	body         string
 	err          error
+	leaving      bool          // the response said that the target leaves
 	elapsed      time.Duration // from sending to the end of the response
 	routeAddedAt time.Time     // when the store acknowledged the route; zero for fixed routes
 	deadline     time.Duration // as the request said
@@ -161,6 +237,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.counts[counterName(o)]++
+	c.recordLeaving(r.instance, o)
 	if o.elapsed > o.deadline+answerGracePeriod && r.instance.undisturbedSince(r.sentAt.Add(-faultGracePeriod)) && c.lastStallAt.Before(r.sentAt) {
 		c.addViolation("LATE", "request %s at %s has no answer %v after it was sent, deadline %v", r.id, r.instance.name, o.elapsed, o.deadline)
 	}
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -55,6 +55,9 @@
 	{"configuration changed", changeConfig},
 	{"configurations in quick succession", changeConfigRapidly},
 	{"zone evacuated", evacuateZone},
+	{"target announces that it leaves", announceLeaving},
+	{"target asks for a pause", pauseTarget},
+	{"target responds without end", respondWithoutEnd},
 }
 
 // KindError reports an unknown kind of fault.
@@ -266,6 +269,51 @@
 	return old.id
 }
 
+// announceLeaving makes a target say in its responses that it leaves, while its
+// entry in the store says that it is ready, and then replaces it.
+func announceLeaving(r *run, rng *rand.Rand) string {
+	host := r.randomHost(rng)
+	old := host.current()
+	if old == nil || old.leaving.Swap(true) {
+		return "none"
+	}
+	sleep(drainBound + drainDuration)
+	r.deregister(old)
+	if host.current() == old {
+		host.crash()
+		sleep(randomDuration(rng, 100*time.Millisecond, time.Second))
+		r.startTarget(host, old.service, false)
+	}
+	return old.id
+}
+
+// pauseTarget makes a target refuse requests and ask for none until it takes them
+// again.
+func pauseTarget(r *run, rng *rand.Rand) string {
+	t := r.randomHost(rng).current()
+	if t == nil {
+		return "none"
+	}
+	duration := randomDuration(rng, 800*time.Millisecond, 3*time.Second)
+	until := time.Now().Add(duration)
+	t.pausedUntil.Store(&until)
+	sleep(duration)
+	return fmt.Sprintf("%s for %v", t.id, duration)
+}
+
+// respondWithoutEnd makes a target send bytes that are no response and do not end.
+func respondWithoutEnd(r *run, rng *rand.Rand) string {
+	t := r.randomHost(rng).current()
+	if t == nil {
+		return "none"
+	}
+	index := rng.IntN(len(endlessResponses))
+	t.endless.Store(&index)
+	sleep(randomDuration(rng, 300*time.Millisecond, 2*time.Second))
+	t.endless.Store(nil)
+	return fmt.Sprintf("%s with response %d", t.id, index)
+}
+
 func freezeTarget(r *run, rng *rand.Rand) string {
 	t := r.randomHost(rng).current()
 	if t == nil {
--- a/internal/standin/soak/instance.go
+++ b/internal/standin/soak/instance.go
@@ -187,6 +187,14 @@
 	return i.faultUntil.Before(since)
 }
 
+// runningSince reports whether the process has run without a restart or a freeze
+// since the given time.
+func (i *instance) runningSince(since time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.process != nil && i.faultUntil.Before(since) && i.lastTransitionAt.Before(since)
+}
+
 // kill kills the process, if one runs, and waits until it has ended.
 func (i *instance) kill() {
 	if ended, sent := i.signal(syscall.SIGKILL, 0); sent {
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,8 @@
 	headerInstance         = "X-Fulmarhoist-Instance-Id"
 	headerLoad             = "X-Fulmarhoist-Server-Load"
 	headerWarmupMS         = "X-Fulmarhoist-Warmup-Ms"
+	headerLeaving          = "Server-Leaving"
+	headerRetryAfter       = "Retry-After"
 )
 
 const (
@@ -65,8 +68,12 @@
 	store             *keyedstore.Store
 	checker           *checker
 	address           string
-	sequence          int // of its entry in the store
+	sequence          int          // of its entry in the store
+	path              *networkPath // from the entry instances
 	draining          atomic.Bool
+	leaving           atomic.Bool                   // says so in all responses
+	pausedUntil       atomic.Pointer[time.Time]     // refuses requests until then; nil if it does not
+	endless           atomic.Pointer[int]           // index in endlessResponses of what it sends; nil if it responds
 	resumed           atomic.Pointer[chan struct{}] // closed when a freeze ends; nil unless frozen
 	running           chan struct{}                 // semaphore with one element for each running request
 	inFlight          atomic.Int32                  // running and waiting requests
@@ -119,13 +126,16 @@
 func (t *target) serve(w http.ResponseWriter, r *http.Request) {
 	arrivedAt := time.Now()
 	h := w.Header()
+	if t.leaving.Load() {
+		h.Set(headerLeaving, "1")
+	}
+	if index := t.endless.Load(); index != nil {
+		respondEndlessly(w, *index)
+		return
+	}
 	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d,100", len(t.running), max(0, t.inFlight.Load()-targetSlots), targetSlots))
 	if r.URL.Path == "/health" {
-		h.Set(headerInstance, t.id)
-		h.Set(headerWarmupMS, strconv.FormatInt(t.coldRemaining().Milliseconds(), 10))
-		if t.draining.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+		t.serveHealth(w)
 		return
 	}
 	id := r.Header.Get(headerRequestID)
@@ -134,6 +144,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	t.checker.recordArrival(&arrival{arrivedAt: arrivedAt, id: id, target: t})
+	if until := t.pausedUntil.Load(); until != nil && arrivedAt.Before(*until) {
+		h.Set(headerNotExecuted, "1")
+		h.Set(headerRetryAfter, strconv.FormatFloat(time.Until(*until).Seconds(), 'f', 3, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		t.checker.recordPauseRequest(t, id, time.Now(), *until)
+		return
+	}
 	defer t.inFlight.Add(-1)
 	if t.inFlight.Add(1) > targetSlots+targetQueueLength {
 		h.Set(headerNotExecuted, "1")
@@ -166,6 +184,44 @@
 	_ = out.Flush()
 }
 
+// serveHealth answers a health check.
+func (t *target) serveHealth(w http.ResponseWriter) {
+	w.Header().Set(headerInstance, t.id)
+	w.Header().Set(headerWarmupMS, strconv.FormatInt(t.coldRemaining().Milliseconds(), 10))
+	if t.draining.Load() || t.leaving.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// endlessResponses are what a faulty target sends: one text once, and then the other
+// until its connection is closed.
+var endlessResponses = []struct{ once, repeated string }{
+	{"", "no response "},
+	{"HTTP/1.1 200 OK\r\nX: ", "x"},
+	{"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+	{"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+	{"HTTP/1.1 200 OK\r\n\r\n", "x"},
+	{"HTTP/1.1 200 OK\r\nContent-Length: 900000000000\r\n\r\n", "x"},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+}
+
+// respondEndlessly writes the text with the given index until the connection is
+// closed.
+func respondEndlessly(w http.ResponseWriter, index int) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	response := endlessResponses[index]
+	block := []byte(strings.Repeat(response.repeated, 64))
+	_, err = io.WriteString(conn, response.once)
+	for err == nil {
+		_, err = conn.Write(block)
+	}
+}
+
 // contentDigest returns a digest of those parts of a request that must reach the
 // target unchanged.
 func contentDigest(method, uri string, body []byte) string {
@@ -226,7 +282,7 @@
 // startTarget makes the target the active one, accepts connections and
 // registers it in the store.
 func (h *targetHost) startTarget(t *target) error {
-	t.address = h.path.relay.Address()
+	t.address, t.path = h.path.relay.Address(), h.path
 	h.mu.Lock()
 	h.active = t
 	h.mu.Unlock()
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -29,6 +29,7 @@
 type HeaderProtocol interface {
 	gateway.Protocol
 	targetconn.Protocol
+	targetconn.NoticeParser
 	prober.Protocol
 }
 
@@ -122,10 +123,10 @@
 	})
 }
 
-func newPools(metrics *telemetry.Metrics) *targetconn.Pools {
-	pools := targetconn.NewPools()
-	pools.OnOpen = metrics.Counter("fulmarhoist_target_connections_opened_total").Inc
-	return pools
+func newPools(p *Platform, metrics *telemetry.Metrics) *targetconn.Pools {
+	return targetconn.NewPools(targetconn.PoolOptions{
+		OnOpen: metrics.Counter("fulmarhoist_target_connections_opened_total").Inc, Notices: p.Protocol,
+	})
 }
 
 // proberDeps holds the dependencies of a prober.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -59,6 +60,9 @@
 	// to the probes.
 	sameZoneWait  = 3 * time.Millisecond
 	otherZoneWait = 8 * time.Millisecond
+	// maxHealthBodyBytes is the longest body of a health response, which is
+	// discarded.
+	maxHealthBodyBytes = 16 << 10
 	// probeTimeout is the timeout of one probe, including the time to open a
 	// connection.
 	probeTimeout = 300 * time.Millisecond
@@ -167,6 +171,13 @@
 	return done
 }
 
+// recordInvalid records that a target sent bytes that are no health response. A
+// request would fail there as well.
+func recordInvalid(t *target.Target, now time.Time) {
+	t.RecordResult(true)
+	t.RecordFailure(now)
+}
+
 // probe sends one probe and records the result in the target.
 func (p *Prober) probe(t *target.Target, path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
@@ -181,16 +192,23 @@
 	}
 	response, _, err := conn.Do(ctx, &targetconn.Request{
 		Method: http.MethodGet, Target: path, Host: t.Spec.Address, Header: http.Header{},
-		Matches: func(response *http.Response) bool { return p.Protocol.Health(response).Target != "" },
+		Matches:   func(response *http.Response) bool { return p.Protocol.Health(response).Target != "" },
+		BodyLimit: func(*http.Response) int64 { return maxHealthBodyBytes },
 	})
+	now := time.Now()
+	var broken *targetconn.BrokenError
+	if errors.As(err, &broken) && !broken.NoResponse && ctx.Err() == nil {
+		recordInvalid(t, now)
+	}
 	if err != nil {
 		return
 	}
 	if response.Rest != nil {
+		_ = response.Rest.Close()
 		conn.Close()
+		recordInvalid(t, now)
 		return
 	}
-	now := time.Now()
 	health := p.Protocol.Health(response.HTTP)
 	if health.Target != t.Spec.Name {
 		// Another process now uses the address.
--- /dev/null
+++ b/targetconn/buffer.go
@@ -0,0 +1,104 @@
+package targetconn
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// initialBufferBytes is the initial size of a body buffer, and
+	// unbudgetedBufferBytes the size that each may have whatever the others use.
+	initialBufferBytes    = 4 << 10
+	unbudgetedBufferBytes = 64 << 10
+)
+
+// BufferBudget limits the memory that connections use together for response
+// bodies that they have not passed on yet. Targets that respond without end would
+// otherwise exhaust the memory of the instance. It is safe for concurrent use.
+type BufferBudget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewBufferBudget returns a budget of the given number of bytes, beyond the
+// unbudgetedBufferBytes of each connection.
+func NewBufferBudget(limit int64) *BufferBudget { return &BufferBudget{limit: limit} }
+
+// Used returns the number of bytes in use.
+func (b *BufferBudget) Used() int64 { return b.used.Load() }
+
+// acquire reserves the given number of bytes, and reports whether it did. A nil
+// budget has no limit.
+func (b *BufferBudget) acquire(bytes int64) bool {
+	if b == nil {
+		return true
+	}
+	if b.used.Add(bytes) > b.limit {
+		b.used.Add(-bytes)
+		return false
+	}
+	return true
+}
+
+func (b *BufferBudget) release(bytes int64) {
+	if b != nil {
+		b.used.Add(-bytes)
+	}
+}
+
+// bodyBuffer holds the first part of a response body. It is not safe for
+// concurrent use.
+type bodyBuffer struct {
+	data     []byte
+	budget   *BufferBudget
+	limit    int64 // maximum length of data
+	reserved int64 // bytes taken from the budget
+}
+
+func newBodyBuffer(budget *BufferBudget, limit int64) *bodyBuffer {
+	return &bodyBuffer{budget: budget, limit: limit, data: make([]byte, 0, min(limit, initialBufferBytes)+1)}
+}
+
+// readFrom reads the body until its end, the limit, or the end of the budget. It
+// reports whether it has read the whole body.
+func (b *bodyBuffer) readFrom(body io.Reader) (complete bool, err error) {
+	for {
+		if len(b.data) == cap(b.data) && !b.grow() {
+			return false, nil
+		}
+		n, err := body.Read(b.data[len(b.data):cap(b.data)])
+		b.data = b.data[:len(b.data)+n]
+		if err == io.EOF {
+			return true, nil
+		}
+		if err != nil {
+			return false, err
+		}
+	}
+}
+
+// grow doubles the capacity of the buffer up to the limit plus one byte, which
+// tells a body of the limit's length from a longer one. It returns false at the
+// limit or if the budget does not allow it.
+func (b *bodyBuffer) grow() bool {
+	size := min(2*int64(cap(b.data)), b.limit+1)
+	if size <= int64(cap(b.data)) {
+		return false
+	}
+	if beyond := size - unbudgetedBufferBytes - b.reserved; beyond > 0 {
+		if !b.budget.acquire(beyond) {
+			return false
+		}
+		b.reserved += beyond
+	}
+	grown := make([]byte, len(b.data), size)
+	copy(grown, b.data)
+	b.data = grown
+	return true
+}
+
+// release returns the reserved bytes to the budget.
+func (b *bodyBuffer) release() {
+	b.budget.release(b.reserved)
+	b.reserved = 0
+}
--- a/targetconn/conn.go
+++ b/targetconn/conn.go
@@ -34,6 +34,12 @@
 	// any of it is forwarded, so that a truncated response up to this size is
 	// detected before its status is sent to the caller.
 	MaxBufferedBodyBytes = 1 << 20
+	// maxSkippedBodyBytes is the longest body of a response to another request
+	// that is read and discarded.
+	maxSkippedBodyBytes = 64 << 10
+	// unsolicitedTimeout is how long to wait for the head of a response that
+	// arrives on an idle connection.
+	unsolicitedTimeout = 100 * time.Millisecond
 	// readBufferBytes is the size of the read buffer of a connection.
 	readBufferBytes = 4 << 10
 )
@@ -81,14 +87,36 @@
 	// Matches reports whether a response belongs to the request. If it is nil,
 	// every response does.
 	Matches func(*http.Response) bool
+	// BodyLimit returns how much of the body of a response to buffer, at most
+	// MaxBufferedBodyBytes. If it is nil, the limit is MaxBufferedBodyBytes.
+	BodyLimit func(*http.Response) int64
+}
+
+// matches reports whether a response belongs to the request.
+func (r *Request) matches(response *http.Response) bool {
+	return r.Matches == nil || r.Matches(response)
+}
+
+// bodyLimit returns how much of the body of a response to buffer.
+func (r *Request) bodyLimit(response *http.Response) int64 {
+	switch {
+	case !r.matches(response):
+		return maxSkippedBodyBytes
+	case r.BodyLimit == nil:
+		return MaxBufferedBodyBytes
+	default:
+		return min(r.BodyLimit(response), MaxBufferedBodyBytes)
+	}
 }
 
 // Response is a target's final response. Body is complete unless Rest is set,
-// which then yields the remainder.
+// which then yields the remainder and must be closed.
 type Response struct {
 	HTTP *http.Response
 	Body []byte
 	Rest io.ReadCloser
+
+	streamed *streamedBody // Rest as readLoop knows it; nil if Body is complete
 }
 
 // call is a request in flight.
@@ -110,6 +138,7 @@
 	Opened time.Time
 
 	conn        net.Conn
+	options     Options
 	reader      *bufio.Reader
 	limit       *hop.LimitedConn
 	inFlight    atomic.Pointer[call]
@@ -120,16 +149,30 @@
 	idleTimeout time.Duration // announced by the target, less a margin; 0 if unknown
 }
 
+// Options are the dependencies of a connection; the zero value has none.
+type Options struct {
+	// OnResponse is called with the head of each response, also of one that
+	// belongs to no request. It must not read the body.
+	OnResponse func(*http.Response)
+	// Buffers limits the memory that the connections share for response bodies.
+	Buffers *BufferBudget
+	// Dial opens the network connection; if it is nil, it is opened over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+}
+
 // Dial opens a connection to the address.
-func Dial(ctx context.Context, address string) (*Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveConfig}
-	tcpConn, err := dialer.DialContext(ctx, "tcp", address)
+func Dial(ctx context.Context, address string, options Options) (*Conn, error) {
+	dial := options.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	conn, err := dial(ctx, address)
 	if err != nil {
 		return nil, &DialError{Address: address, Err: err}
 	}
-	limited := &hop.LimitedConn{Conn: tcpConn}
+	limited := &hop.LimitedConn{Conn: conn}
 	limited.SetLimit(maxResponseHeaderBytes)
-	c := &Conn{Opened: time.Now(), conn: tcpConn, limit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
+	c := &Conn{Opened: time.Now(), conn: conn, options: options, limit: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}
 	c.readerDone = make(chan struct{})
 	c.idleSince = c.Opened
 	c.reusable.Store(true)
@@ -137,6 +180,15 @@
 	return c, nil
 }
 
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveConfig}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("open a TCP connection: %w", err)
+	}
+	return conn, nil
+}
+
 // Close closes the connection; a request in flight fails.
 func (c *Conn) Close() {
 	if !c.closed.Swap(true) {
@@ -312,6 +364,9 @@
 		_, err := c.reader.Peek(1)
 		pending := c.inFlight.Load()
 		if pending == nil {
+			if err == nil {
+				c.readUnsolicited()
+			}
 			return // the target closed an idle connection, or sent bytes without a request
 		}
 		if err != nil {
@@ -319,12 +374,13 @@
 			return
 		}
 		response, err := c.readResponse(pending)
-		if err == nil && pending.request.Matches != nil && !pending.request.Matches(response.HTTP) {
+		if err == nil && !pending.request.matches(response.HTTP) {
 			skipped++
 			c.reusable.Store(false)
-			if skipped <= maxSkippedResponses && response.Rest == nil {
+			if skipped <= maxSkippedResponses && response.streamed == nil {
 				continue
 			}
+			response.discard()
 			err = &BrokenError{Problem: "the response belongs to another request"}
 		}
 		if err != nil {
@@ -335,7 +391,7 @@
 		if !c.updateKeepAlive(response) {
 			c.reusable.Store(false)
 		}
-		if response.Rest == nil {
+		if response.streamed == nil {
 			reusable := c.reusable.Load()
 			pending.done <- callResult{response: response}
 			if !reusable {
@@ -343,23 +399,39 @@
 			}
 			continue
 		}
-		body := &streamedBody{ReadCloser: response.Rest, complete: make(chan bool, 1)}
-		response.Rest = body
 		pending.done <- callResult{response: response}
-		if complete := <-body.complete; !complete || !c.reusable.Load() {
+		if complete := <-response.streamed.complete; !complete || !c.reusable.Load() {
 			return
 		}
 	}
 }
 
-// readResponse reads a final response, skipping informational ones. A body
-// longer than MaxBufferedBodyBytes is read only in part.
+// readUnsolicited reads the head of a response that arrived on an idle connection.
+// It belongs to no request, but may say that the target is leaving.
+func (c *Conn) readUnsolicited() {
+	_ = c.conn.SetReadDeadline(time.Now().Add(unsolicitedTimeout))
+	if head, err := http.ReadResponse(c.reader, nil); err == nil {
+		c.notify(head)
+	}
+}
+
+// notify passes the head of a response to OnResponse.
+func (c *Conn) notify(head *http.Response) {
+	if c.options.OnResponse != nil {
+		c.options.OnResponse(head)
+	}
+}
+
+// readResponse reads a final response, skipping informational ones; the limit on
+// the header applies to all of them together. A body longer than the request's
+// BodyLimit is read only in part.
 func (c *Conn) readResponse(pending *call) (*Response, error) {
 	for {
 		head, err := http.ReadResponse(c.reader, pending.httpRequest)
 		if err != nil {
 			return nil, &BrokenError{Problem: "no valid response header", Err: err}
 		}
+		c.notify(head)
 		if head.StatusCode < http.StatusOK {
 			if head.StatusCode == http.StatusSwitchingProtocols {
 				return nil, &BrokenError{Problem: "switched to another protocol"}
@@ -367,18 +439,30 @@
 			continue
 		}
 		c.limit.SetLimit(hop.Unlimited)
-		data, err := io.ReadAll(io.LimitReader(head.Body, MaxBufferedBodyBytes+1))
+		body := newBodyBuffer(c.options.Buffers, pending.request.bodyLimit(head))
+		complete, err := body.readFrom(head.Body)
 		if err != nil {
+			body.release()
 			return nil, &BrokenError{Problem: "response body ended early", Err: err}
 		}
-		response := &Response{HTTP: head, Body: data}
-		if len(data) > MaxBufferedBodyBytes {
-			response.Rest = head.Body
+		response := &Response{HTTP: head, Body: body.data}
+		if complete {
+			body.release()
+		} else {
+			response.streamed = &streamedBody{ReadCloser: head.Body, buffer: body, complete: make(chan bool, 1)}
+			response.Rest = response.streamed
 		}
 		return response, nil
 	}
 }
 
+// discard closes the unread rest of a response.
+func (r *Response) discard() {
+	if r.Rest != nil {
+		_ = r.Rest.Close()
+	}
+}
+
 // updateKeepAlive reports whether the target keeps the connection open after the
 // response, and sets idleTimeout from the Keep-Alive header.
 func (c *Conn) updateKeepAlive(response *Response) bool {
@@ -401,7 +485,8 @@
 // body ended.
 type streamedBody struct {
 	io.ReadCloser
-	complete chan bool // receives whether the body was read to its end; capacity 1
+	buffer   *bodyBuffer // the part of the body before the rest
+	complete chan bool   // receives whether the body was read to its end; capacity 1
 	done     bool
 }
 
@@ -413,6 +498,8 @@
 	return n, err
 }
 
+// Close implements io.Closer. It does not close the underlying body, which would
+// read it to its end.
 func (s *streamedBody) Close() error {
 	s.finish(false)
 	return nil
@@ -421,6 +508,7 @@
 func (s *streamedBody) finish(complete bool) {
 	if !s.done {
 		s.done = true
+		s.buffer.release()
 		s.complete <- complete
 	}
 }
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -11,14 +14,37 @@
 // Pools holds one pool of idle connections per target. It is safe for concurrent
 // use.
 type Pools struct {
-	mu    sync.Mutex
-	pools map[*target.Target]*pool
-	// OnOpen is called after each newly opened connection; it may be nil.
+	mu      sync.Mutex
+	pools   map[*target.Target]*pool
+	options PoolOptions
+	buffers *BufferBudget
+}
+
+// NoticeParser decodes what the head of a response says about the requests that
+// the target wants from now on.
+type NoticeParser interface {
+	ParseNotice(response *http.Response) target.Notice
+}
+
+// PoolOptions are the dependencies of Pools; the zero value has none.
+type PoolOptions struct {
+	// OnOpen is called after each newly opened connection.
 	OnOpen func()
+	// Notices decodes the notices of all responses, which are then recorded in
+	// their target.
+	Notices NoticeParser
+	// Dial opens network connections; if it is nil, they are opened over TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
+// bufferBudgetBytes limits the memory that all connections use for response bodies
+// which have not been passed on. It is an eighth of the memory of a small machine.
+const bufferBudgetBytes = 48 << 20
+
 // NewPools returns an empty set of pools.
-func NewPools() *Pools { return &Pools{pools: map[*target.Target]*pool{}} }
+func NewPools(options PoolOptions) *Pools {
+	return &Pools{pools: map[*target.Target]*pool{}, options: options, buffers: NewBufferBudget(bufferBudgetBytes)}
+}
 
 // pool holds the idle connections of one target, the most recently used last.
 type pool struct {
@@ -52,13 +78,26 @@
 	if c := p.poolFor(t).take(time.Now(), maxIdle); c != nil {
 		return c, nil
 	}
-	c, err := Dial(ctx, t.Spec.Address)
-	if err == nil && p.OnOpen != nil {
-		p.OnOpen()
+	c, err := Dial(ctx, t.Spec.Address, p.connOptions(t))
+	if err == nil && p.options.OnOpen != nil {
+		p.options.OnOpen()
 	}
 	return c, err
 }
 
+// connOptions returns the options of a new connection to a target. Its responses
+// come from the process that is the target's current one now.
+func (p *Pools) connOptions(t *target.Target) Options {
+	options := Options{Buffers: p.buffers, Dial: p.options.Dial}
+	if p.options.Notices != nil {
+		_, generation := t.State()
+		options.OnResponse = func(response *http.Response) {
+			t.ObserveNotice(time.Now(), generation, p.options.Notices.ParseNotice(response), rand.Float64())
+		}
+	}
+	return options
+}
+
 // Put returns a connection to its pool after a complete response, or closes it
 // if it can't be reused.
 func (p *Pools) Put(t *target.Target, c *Conn) {
--- a/targetconn/sender.go
+++ b/targetconn/sender.go
@@ -116,6 +116,16 @@
 	return fmt.Sprintf("target %s declined to run the request with status %d", e.Target, e.Status)
 }
 
+// StalePermitError reports that the target announced its shutdown, asked for a
+// pause or restarted between the choice of the target and the first write.
+type StalePermitError struct {
+	Target string
+}
+
+func (e *StalePermitError) Error() string {
+	return fmt.Sprintf("target %s no longer takes the request that was about to be sent", e.Target)
+}
+
 // InvalidResponseError reports a response that is not authentic; see
 // ResponseInfo.Authentic.
 type InvalidResponseError struct {
@@ -129,6 +139,10 @@
 
 // Send implements exchange.Attempt.
 func (a *attempt) Send(ctx context.Context, request *exchange.Request, body *exchange.Body) (*exchange.Response, contract.Failure, error) {
+	if !a.permit.MaySend(time.Now()) {
+		a.Abandon()
+		return nil, contract.FailureNotSent, &StalePermitError{a.permit.Target.Spec.Name}
+	}
 	ctx, cancel := context.WithTimeout(ctx, a.timeout())
 	response, sent, err := a.conn.Do(ctx, a.newRequest(request, body))
 	attemptEnded := err != nil && ctx.Err() != nil
@@ -145,14 +159,35 @@
 	}
 	failure, err := a.classify(&info, result)
 	if err != nil || response.Rest == nil {
+		response.discard()
 		cancel()
 		a.finish(err, response)
 		return result, failure, err
 	}
-	result.Rest = &remainingBody{ReadCloser: response.Rest, end: func() { cancel(); a.finish(nil, response) }}
+	result.Rest = &remainingBody{ReadCloser: response.Rest, end: func(err error) {
+		cause := ctx.Err()
+		cancel()
+		if errors.Is(err, io.EOF) {
+			a.finish(nil, response)
+			return
+		}
+		a.finishIncomplete(errors.Is(cause, context.DeadlineExceeded) || cause == nil && err != nil)
+	}}
 	return result, 0, nil
 }
 
+// finishIncomplete records an attempt whose response was passed on only in part.
+// The target is at fault if it sent the body for longer than the attempt may take
+// or ended it early, but not if the caller has disconnected.
+func (a *attempt) finishIncomplete(targetFailed bool) {
+	a.conn.Close()
+	if targetFailed {
+		a.permit.Target.RecordResult(true)
+		a.x.Observer.Discarded(a.x.Service.Name)
+	}
+	a.x.ReleasePermit(a.permit)
+}
+
 // classify returns how the attempt failed, or 0 and nil if the response is
 // final.
 func (a *attempt) classify(info *ResponseInfo, response *exchange.Response) (contract.Failure, error) {
@@ -255,6 +290,12 @@
 		Matches: func(response *http.Response) bool {
 			return a.sender.Protocol.ParseResponse(response, request).MatchesRequest
 		},
+		BodyLimit: func(response *http.Response) int64 {
+			if a.sender.Protocol.ParseResponse(response, request).Authentic {
+				return MaxBufferedBodyBytes
+			}
+			return maxSkippedBodyBytes
+		},
 	}
 	header.Del("Host")
 	if out.Size != 0 {
@@ -263,19 +304,26 @@
 	return out
 }
 
-// remainingBody is the rest of a response body that is longer than
-// MaxBufferedBodyBytes. Closing it ends the attempt.
+// remainingBody is the rest of a response body that is longer than what is
+// buffered. Closing it ends the attempt.
 type remainingBody struct {
 	io.ReadCloser
-	end  func()
-	done bool
+	end     func(readErr error) // called once by Close
+	readErr error               // of the last Read; io.EOF at the end of the body
+	done    bool
+}
+
+func (r *remainingBody) Read(p []byte) (int, error) {
+	n, err := r.ReadCloser.Read(p)
+	r.readErr = err
+	return n, err
 }
 
 func (r *remainingBody) Close() error {
 	err := r.ReadCloser.Close()
 	if !r.done {
 		r.done = true
-		r.end()
+		r.end(r.readErr)
 	}
 	return err
 }
