Mend faults found by reading in the deciding packages

contract: a crash of a target whose earlier crash was cleared did not count. It does when this instance saw it; a late report of a peer cannot be told from a new crash. node: new targets in a listing hid lost ones from the count of a mass removal. target: the newest load report was not bounded, only the average; a goroutine that lost the race for the last permit used up the pacing interval. relay: asking for a topic that the relay does not follow dropped the relay for 3 s; an empty list of members gave a message without a cause. routing: "[::1]:8080" matched no route without a port; a configuration with weights whose sum overflows ended the process (slice of negative capacity). service: requests of worse ranks that have waited for long were not counted as ahead.

Each has a spec that failed on the old code, except the race in target.Admit, which the new order of the two checks excludes (spec: 64 goroutines, one permit).

--- a/contract/fingerprints.go
+++ b/contract/fingerprints.go
@@ -117,15 +117,21 @@
 // Crashed records that a target crashed while it was executing requests with the
 // given fingerprints.
 func (f *Fingerprints) Crashed(now time.Time, target string, running ...Fingerprint) {
-	reports := make([]CrashReport, len(running))
-	for i, fingerprint := range running {
-		reports[i] = CrashReport{Fingerprint: fingerprint, Target: target}
+	if len(running) == 0 {
+		return
 	}
-	f.Merge(now, reports)
+	f.update(func(next map[Fingerprint]crashList) {
+		removeExpired(next, now)
+		for _, fingerprint := range running {
+			next[fingerprint] = next[fingerprint].without(target).withCrash(target, now)
+		}
+		evict(next)
+	})
 }
 
 // Merge records crashes that were reported by peers. For a target whose crash is
-// already recorded, only the time is updated, if the reported one is later.
+// already recorded, only the time is updated, if the reported one is later: a late
+// report of a crash that was cleared cannot be told from one of a new crash.
 func (f *Fingerprints) Merge(now time.Time, reports []CrashReport) {
 	if len(reports) == 0 {
 		return
@@ -225,6 +231,11 @@
 	}
 }
 
+// without returns the list without the crash of the given target.
+func (l crashList) without(target string) crashList {
+	return slices.DeleteFunc(slices.Clone(l), func(c crash) bool { return c.target == target })
+}
+
 // withCrash returns the list with a crash of the given target added, or with the
 // time of its recorded crash updated.
 func (l crashList) withCrash(target string, at time.Time) crashList {
--- a/contract/fingerprints_test.go
+++ b/contract/fingerprints_test.go
@@ -96,6 +96,17 @@
 		})
 	})
 
+	// Guards against a request that goes on crashing targets because an earlier crash
+	// of the same target had been cleared by a response in between.
+	It("counts a crash of a target whose earlier crash was cleared", func() {
+		f := contract.NewFingerprints()
+		f.Crashed(now, "t1", crashing)
+		f.RecordResponse(crashing)
+		f.Crashed(now.Add(time.Second), "t1", crashing)
+		f.Crashed(now.Add(time.Second), "t2", crashing)
+		Expect(f.Refused(now.Add(time.Second), crashing)).To(BeTrue())
+	})
+
 	// Guards against unbounded memory use, and against a flood of harmless
 	// fingerprints that displaces a refused one.
 	It("stays within its bound and keeps refused fingerprints", func() {
--- a/node/applier.go
+++ b/node/applier.go
@@ -217,17 +217,21 @@
 	if known < massRemovalMinTargets {
 		return false
 	}
+	present := make(map[string]bool, len(event.Records))
 	removed := 0
-	present := 0
 	for _, record := range event.Records {
+		present[record.Key] = !record.Deleted
 		if record.Deleted {
 			removed++
-		} else {
-			present++
 		}
 	}
 	if event.Listing {
-		removed = known - present
+		removed = 0
+		for _, id := range a.registry.IDs() {
+			if !present[id] {
+				removed++
+			}
+		}
 	}
 	return float64(removed) > massRemovalShare*float64(known)
 }
--- a/relay/members.go
+++ b/relay/members.go
@@ -26,6 +26,16 @@
 	Buffer *Buffer
 }
 
+// NoMembersError reports a relay that sent an empty list of members, although it is
+// a member itself.
+type NoMembersError struct {
+	Address string // address of the relay
+}
+
+func (e *NoMembersError) Error() string {
+	return "relay at " + e.Address + " sent an empty list of members"
+}
+
 // AtGeneration returns the members at the given generation of the group, or a
 // later one.
 func (m *Members) AtGeneration(ctx context.Context, generation uint64) ([]fleet.Member, error) {
@@ -61,9 +71,13 @@
 		return nil, false
 	}
 	var members []fleet.Member
-	if err := msgpack.Unmarshal(resp.Records[0].Value, &members); err != nil || len(members) == 0 {
+	if err := msgpack.Unmarshal(resp.Records[0].Value, &members); err != nil {
 		m.dropRelay(time.Now(), address, fmt.Errorf("relay: decode members from relay at %s: %w", address, err))
 		return nil, false
 	}
+	if len(members) == 0 {
+		m.dropRelay(time.Now(), address, &NoMembersError{address})
+		return nil, false
+	}
 	return members, true
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -145,6 +145,7 @@
 		batch, err := log.Read(ctx, "other", 0, time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(keys(batch)).To(Equal([]string{"0", "1", "2"}))
+		Expect(lost.Load()).To(BeZero(), "the relay still serves other topics")
 	})
 
 	// Guards against skipping records that are older than those in the buffer of
--- a/relay/server.go
+++ b/relay/server.go
@@ -62,7 +62,7 @@
 func (s *Server) respond(ctx context.Context, req *request) response {
 	buffer := s.Buffers[req.Topic]
 	if buffer == nil {
-		return response{}
+		return response{Current: true, Next: req.From, ReadStore: true}
 	}
 	wait := min(max(0, time.Duration(req.WaitMs)*time.Millisecond), maxWait)
 	timer := time.NewTimer(wait)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -84,12 +84,24 @@
 	return fmt.Sprintf("invalid configuration, version %d: %s", e.Version, e.Problem)
 }
 
-// Validate returns a *ConfigError if a route refers to an unknown service, or has
-// no host, prefix, kind or service.
+const (
+	// maxWeight bounds the weight of a service, so that sums of weights do not
+	// overflow.
+	maxWeight = 1_000_000
+	// maxRequestsPerSecond bounds the rate that a target can handle while cold, far
+	// above any real one.
+	maxRequestsPerSecond = 1e6
+)
+
+// Validate returns a *ConfigError if a number is out of range, or if a route refers
+// to an unknown service, or has no host, prefix, kind or service.
 func (c *Config) Validate() error {
 	known := make(map[string]bool, len(c.Services))
 	for _, s := range c.Services {
 		known[s.Name] = true
+		if s.ColdRequestsPerSecond < 0 || s.ColdRequestsPerSecond > maxRequestsPerSecond {
+			return &ConfigError{c.Version, fmt.Sprintf("service %q: %g requests per second while cold, expected 0 to %g", s.Name, s.ColdRequestsPerSecond, maxRequestsPerSecond)}
+		}
 	}
 	for _, r := range c.Routes {
 		switch {
@@ -104,6 +116,9 @@
 			if !known[weighted.Service] {
 				return &ConfigError{c.Version, fmt.Sprintf("route %q: unknown service %q", r.Name, weighted.Service)}
 			}
+			if weighted.Weight < 0 || weighted.Weight > maxWeight {
+				return &ConfigError{c.Version, fmt.Sprintf("route %q: service %q has the weight %d, expected 0 to %d", r.Name, weighted.Service, weighted.Weight, maxWeight)}
+			}
 		}
 	}
 	return nil
@@ -178,9 +193,12 @@
 	return e.cycle[(e.next.Add(1)-1)%uint64(len(e.cycle))]
 }
 
-// stripPort returns a host without its port. Addresses with several colons, such
-// as IPv6 addresses, are returned unchanged.
+// stripPort returns a host without its port. An IPv6 address with a port is in
+// brackets, which are kept; one without brackets has no port.
 func stripPort(host string) string {
+	if end := strings.LastIndexByte(host, ']'); end >= 0 && strings.HasPrefix(host[end+1:], ":") {
+		return host[:end+1]
+	}
 	if name, port, found := strings.Cut(host, ":"); found && !strings.Contains(port, ":") {
 		return name
 	}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -39,6 +40,37 @@
 		Expect(found.Service).To(Equal("short"))
 	})
 
+	// Guards against a route that is not found because the Host header names an IPv6
+	// address with a port.
+	It("ignores the port of an IPv6 address", func() {
+		t := table(route("[::1]", "/", routing.WeightedService{Service: "a", Weight: 1}))
+		for _, host := range []string{"[::1]", "[::1]:8080"} {
+			_, ok := t.Match(host, "/x")
+			Expect(ok).To(BeTrue(), host)
+		}
+	})
+
+	// Guards against a configuration that ends the process: the sum of such weights
+	// overflowed, and a slice of negative capacity was made.
+	DescribeTable("rejects numbers that are out of range",
+		func(change func(c *routing.Config)) {
+			c := &routing.Config{
+				Version: 1, Services: []routing.Service{{Name: "a"}, {Name: "b"}},
+				Routes: []routing.Route{route("a.example", "/", routing.WeightedService{Service: "a", Weight: 1}, routing.WeightedService{Service: "b", Weight: 1})},
+			}
+			Expect(c.Validate()).To(Succeed())
+			change(c)
+			var invalid *routing.ConfigError
+			Expect(errors.As(c.Validate(), &invalid)).To(BeTrue())
+		},
+		Entry("weights", func(c *routing.Config) {
+			c.Routes[0].Services[0].Weight, c.Routes[0].Services[1].Weight = math.MaxInt64, math.MaxInt64
+		}),
+		Entry("negative weight", func(c *routing.Config) { c.Routes[0].Services[0].Weight = -1 }),
+		Entry("rate while cold", func(c *routing.Config) { c.Services[0].ColdRequestsPerSecond = 1e300 }),
+		Entry("negative rate while cold", func(c *routing.Config) { c.Services[0].ColdRequestsPerSecond = -1 }),
+	)
+
 	// Guards against matching a prefix with part of a path segment or with another
 	// host.
 	It("finds no route for an unknown host or path", func() {
--- a/service/queue.go
+++ b/service/queue.go
@@ -358,11 +358,11 @@
 	return false
 }
 
-// ahead returns the number of waiting requests of the given rank or a better one.
-// Requests of worse ranks that have reached their PromoteAfter are not counted. The
-// caller holds mu.
+// ahead returns the number of waiting requests that go before a new one of the given
+// rank: those of that rank or a better one, and those of worse ranks that have
+// reached their PromoteAfter. The caller holds mu.
 func (q *Queue) ahead(rank Rank) int {
-	count := 0
+	count := q.byPromoteAt.countOverdue(0, q.latestTime, rank)
 	for r := range int(rank) + 1 {
 		count += q.byRank[r].length
 	}
--- a/service/queue_test.go
+++ b/service/queue_test.go
@@ -253,6 +253,33 @@
 		Expect(isReady(overdue) || isReady(undisplaceable)).To(BeFalse())
 	})
 
+	// Guards against accepting a request that will miss its deadline, because requests
+	// of worse ranks that have waited for long go before it.
+	It("counts requests of worse ranks that have reached their PromoteAfter as ahead", func() {
+		q, now := service.NewQueue(100), start
+		for range 10 {
+			w, err := q.JoinAt(now, service.QueueRequest{})
+			Expect(err).NotTo(HaveOccurred())
+			now = now.Add(100 * time.Millisecond)
+			q.NotifyRelease(now)
+			q.Served(w)
+		}
+		for range 20 {
+			_, err := q.JoinAt(now, service.QueueRequest{Rank: 2, PromoteAfter: time.Second})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		urgent := func(at time.Time) error {
+			w, err := q.JoinAt(at, service.QueueRequest{Deadline: at.Add(time.Second)})
+			if err == nil {
+				q.Leave(w)
+			}
+			return err
+		}
+		Expect(urgent(now.Add(900 * time.Millisecond))).To(Succeed())
+		var late *service.DeadlineError
+		Expect(errors.As(urgent(now.Add(time.Second)), &late)).To(BeTrue())
+	})
+
 	// Guards against lost wake-ups and data races with concurrent goroutines.
 	It("serves all requests of concurrent goroutines", func() {
 		q, free := service.NewQueue(1000), atomic.Int32{}
--- a/service/waiting.go
+++ b/service/waiting.go
@@ -99,6 +99,20 @@
 	return last
 }
 
+// countOverdue returns the number of requests of worse ranks than the given one,
+// among the heap element i and its descendants, that have reached their
+// PromoteAfter. An element that has not done so has no descendants that have.
+func (h promoteHeap) countOverdue(i int, now time.Time, rank Rank) int {
+	if i >= len(h) || h[i].promoteAt.After(now) {
+		return 0
+	}
+	count := h.countOverdue(2*i+1, now, rank) + h.countOverdue(2*i+2, now, rank)
+	if h[i].request.Rank > rank {
+		count++
+	}
+	return count
+}
+
 const (
 	// intervalWeight is the weight of a new interval in the exponential moving
 	// average.
--- a/target/report.go
+++ b/target/report.go
@@ -60,7 +60,9 @@
 		report.Slowdown = 1
 	}
 	report.Slowdown = min(report.Slowdown, maxSlowdown)
-	reported := min(report.Running+report.Waiting, maxReportedLoad*max(1, t.Spec.Slots))
+	report.Running = min(report.Running, maxReportedLoad*max(1, t.Spec.Slots))
+	report.Waiting = min(report.Waiting, maxReportedLoad*max(1, t.Spec.Slots)-report.Running)
+	reported := report.Running + report.Waiting
 	ownInFlight := t.InFlight()
 	if last := t.report.Load(); last != nil {
 		elapsed := max(0, time.Duration(monotime.Nanos(now)-last.at))
--- a/target/report_test.go
+++ b/target/report_test.go
@@ -1,6 +1,8 @@
 package target_test
 
 import (
+	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -72,11 +74,49 @@
 		t.Observe(now, target.Report{Running: 1_000_000, Slots: 2, Slowdown: 1e9})
 		Expect(t.RelativeDelay(at(20 * time.Second))).To(BeNumerically("<", 1000))
 	})
+
+	It("bounds the effect of the newest report too", func() {
+		t.Observe(now, target.Report{Running: 1_000_000, Waiting: 1_000_000, Slots: 2, Slowdown: 1})
+		Expect(t.RelativeDelay(now)).To(BeNumerically("<", 12))
+		Expect(t.Saturated(now, 16)).To(BeFalse())
+	})
 })
 
 var _ = Describe("Pacing", func() {
 	now := time.Now()
 
+	// Guards against a cold server that gets less than its share: a goroutine that lost
+	// the race for the last permit had used up the interval.
+	It("does not use up the interval without giving a permit", func() {
+		t := target.NewWarm(target.Spec{Name: "orders-1", Slots: 1, Links: 2}, 1)
+		busy, _ := t.Admit(now)
+		t.MarkServerCold(now, time.Hour)
+		t.SetPacingInterval(time.Minute)
+		_, ok := t.Admit(now)
+		Expect(ok).To(BeFalse())
+		busy.Release()
+		_, ok = t.Admit(now)
+		Expect(ok).To(BeTrue())
+	})
+
+	It("gives at most one permit per interval to competing goroutines", func() {
+		t := target.NewWarm(target.Spec{Name: "orders-1", Slots: 4, Links: 5}, 5)
+		t.MarkServerCold(now, time.Hour)
+		t.SetPacingInterval(time.Minute)
+		var granted atomic.Int32
+		var group sync.WaitGroup
+		for range 64 {
+			group.Go(func() {
+				if _, ok := t.Admit(now); ok {
+					granted.Add(1)
+				}
+			})
+		}
+		group.Wait()
+		Expect(granted.Load()).To(Equal(int32(1)))
+		Expect(t.InFlight()).To(Equal(1))
+	})
+
 	// Guards against a burst of requests to a server that is known to be cold.
 	It("admits one request per interval while the server is cold", func() {
 		t := target.NewWarm(target.Spec{Name: "orders-1", Slots: 4, Links: 5}, 5)
--- a/target/target.go
+++ b/target/target.go
@@ -169,18 +169,19 @@
 	if monotime.Nanos(now) < t.blockedUntil.Load() || t.paused(now) {
 		return Permit{}, false
 	}
-	intervalTaken := false // once, even if the compare-and-swap is repeated
 	for {
 		w := stateWord(t.stateWord.Load())
-		if w.inFlight() >= w.limit() || !t.allows(w, now) {
+		if w.inFlight() >= w.limit() || !t.allows(w, now) || !t.pacingIntervalElapsed(now) {
 			return Permit{}, false
 		}
-		if !intervalTaken && !t.takePacingInterval(now) {
-			return Permit{}, false
-		}
-		intervalTaken = true
 		if t.stateWord.CompareAndSwap(uint64(w), uint64(w+1)) {
-			return Permit{Target: t, Generation: w.generation()}, true
+			permit := Permit{Target: t, Generation: w.generation()}
+			// The interval is taken last, so that it is not used up without a permit.
+			if !t.takePacingInterval(now) {
+				permit.Release()
+				return Permit{}, false
+			}
+			return permit, true
 		}
 	}
 }
