Mend faults found by reading in the programs around them

node: grace time and share of retries were read at the start only, although a reload was logged as a change; any path that begins with /metrics was served; a listener that ran out of descriptors for a moment ended the process (hop.RetryListener). ingress: an HTTP/1.0 caller got chunks; a panic in the handler ended the process. exchange: a link was put back after a declined answer whose long body was not read. link: a restarted target was reported as a closed connection. daemon: the mesh accepted peers before the cluster knew it; dropped events of peers are counted. peerwire: one write deadline held for a whole batch of frames. caller: a renewal of the directory was forgotten if the back-off was over. ctl explain: shows the state of targets at each instance, not only at the first. standin: a read beyond the end of the store's log panicked. platform: numbers of the settings are bounded, so that conversions cannot overflow.

--- a/caller/resend/plan.go
+++ b/caller/resend/plan.go
@@ -228,7 +228,9 @@
 	case now.Before(p.notBefore):
 		return Step{Action: ActionWait, Until: p.notBefore, RefreshDirectory: needsDirectory}
 	default:
-		return p.planSend(now, instances, random)
+		step := p.planSend(now, instances, random)
+		step.RefreshDirectory = step.RefreshDirectory || needsDirectory
+		return step
 	}
 	return Step{Action: ActionStop}
 }
--- a/caller/resend/plan_test.go
+++ b/caller/resend/plan_test.go
@@ -282,6 +282,17 @@
 		Expect(third.Instance).NotTo(Equal(first.Instance))
 	})
 
+	// Guards against resending to instances of an old directory: the request for a
+	// newer one was dropped if the backoff was already over.
+	It("asks for a newer directory with the next copy if the backoff is over", func() {
+		now, p := start, plan(resend.AtMostOnce)
+		sendNext(p, &now)
+		p.Record(now, resend.Result{Event: resend.EventTooOld}, random)
+		step := p.Next(now.Add(time.Minute/2), all, random)
+		Expect(step.Action).To(Equal(resend.ActionSend))
+		Expect(step.RefreshDirectory).To(BeTrue())
+	})
+
 	// Guards against a backoff, or a resend to the same instance, when an
 	// instance cannot be connected to.
 	It("tries another instance immediately, with a new key, if nothing was sent", func() {
--- a/daemon/cluster.go
+++ b/daemon/cluster.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -82,6 +83,8 @@
 	mesh     *peerwire.Mesh
 	listings chan backing.Listing
 	inbox    chan func(now time.Time)
+	// droppedEvents counts the events that found the inbox full.
+	droppedEvents atomic.Uint64
 
 	// The fields below are accessed only by the goroutine of run.
 	loads    *instance.Loads
@@ -129,6 +132,7 @@
 		Key: key, Listener: listener, Handler: &inbound{c}, Random: rand.Uint64,
 	})
 	c.deps.Outbound.open(ctx, c.mesh, c.deps.Broker)
+	c.mesh.Start()
 	return nil
 }
 
@@ -162,11 +166,13 @@
 }
 
 // post queues an event from a peer for the cluster's goroutine without
-// blocking. The event is dropped if the queue is full.
+// blocking. The event is dropped and counted if the queue is full: heartbeats are
+// repeated, and a broken connection is also noticed by the heartbeats that stop.
 func (c *cluster) post(event func(now time.Time)) {
 	select {
 	case c.inbox <- event:
 	default:
+		c.droppedEvents.Add(1)
 	}
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -159,6 +159,7 @@
 		return fmt.Errorf("open the peer mesh: %w", err)
 	}
 	registerPeerGauges(d.metrics, d.cluster.mesh)
+	d.metrics.Gauge("fulmarhoist_peer_events_dropped_total", func() float64 { return float64(d.cluster.droppedEvents.Load()) })
 	d.metrics.Gauge("fulmarhoist_load_probes_total", func() float64 { return float64(d.cluster.deps.Outbound.loadProbes.Load()) })
 	d.wg.Go(func() { d.applier.run(ctx) })
 	d.wg.Go(func() { d.reader.Run(ctx) })
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -144,12 +144,15 @@
 }
 
 // endDeclined ends an attempt that the target declined. It discards the body of
-// the response and keeps the link if the body could be read.
+// the response and keeps the link if the whole body could be read.
 func (a *linkAttempt) endDeclined(httpResponse *http.Response) contract.Failure {
-	_, err := readResponse(httpResponse)
-	_ = httpResponse.Body.Close()
+	response, err := readResponse(httpResponse)
+	reusable := err == nil && response.Rest == nil
+	if reusable {
+		_ = httpResponse.Body.Close()
+	}
 	a.permit.Target.RecordFailure(time.Now())
-	a.finish(err == nil, time.Time{})
+	a.finish(reusable, time.Time{})
 	return contract.FailureDeclined
 }
 
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -8,8 +8,8 @@
 // Shutdown is the graceful shutdown of an instance. It is safe for concurrent
 // use.
 type Shutdown struct {
-	// Grace is the time from the signal until the process is killed.
-	Grace time.Duration
+	// Grace returns the time from the signal until the process is killed.
+	Grace func() time.Duration
 
 	startedAt atomic.Pointer[time.Time]
 }
@@ -47,5 +47,5 @@
 
 // graceFraction returns the given fraction of the grace time.
 func (s *Shutdown) graceFraction(fraction float64) time.Duration {
-	return time.Duration(fraction * float64(s.Grace))
+	return time.Duration(fraction * float64(s.Grace()))
 }
--- a/gateway/shutdown_test.go
+++ b/gateway/shutdown_test.go
@@ -20,7 +20,7 @@
 	// yet, and against accepting requests that the end of the process would
 	// interrupt.
 	It("accepts requests only during the first part of the grace time", func() {
-		s := &gateway.Shutdown{Grace: 6 * time.Second}
+		s := &gateway.Shutdown{Grace: func() time.Duration { return 6 * time.Second }}
 		now := time.Now()
 		Expect(s.AcceptsRequests(now)).To(BeTrue())
 		Expect(s.Leaving()).To(BeFalse())
@@ -29,7 +29,7 @@
 		Expect(s.Leaving()).To(BeTrue())
 		Expect(s.AcceptsRequests(now.Add(2 * time.Second))).To(BeTrue())
 		Expect(s.AcceptsRequests(now.Add(3 * time.Second))).To(BeFalse())
-		Expect(s.EndAfter()).To(BeNumerically("<", s.Grace))
+		Expect(s.EndAfter()).To(BeNumerically("<", s.Grace()))
 		Expect(s.CloseAfter()).To(BeNumerically("<", s.EndAfter()))
 	})
 })
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -139,7 +139,7 @@
 		}
 		c.pending.Add(1)
 		c.responses <- p
-		go func() { p.response <- c.server.Handler.Serve(c.ctx, r) }()
+		go func() { p.response <- c.server.handle(c.ctx, r) }()
 		return !p.closeAfter
 	}
 	return c.serveBody(parsed, p, limits)
@@ -183,11 +183,11 @@
 	c.responses <- p
 	if len(prefix) <= maxBufferedBodyBytes {
 		p.request.Size = int64(len(prefix))
-		go func() { p.response <- c.server.Handler.Serve(c.ctx, p.request) }()
+		go func() { p.response <- c.server.handle(c.ctx, p.request) }()
 		return !p.closeAfter
 	}
 	p.request.Body = io.MultiReader(p.request.Body, body)
-	p.response <- c.server.Handler.Serve(c.ctx, p.request)
+	p.response <- c.server.handle(c.ctx, p.request)
 	// The unread rest of the body would be parsed as the next request.
 	_, err = io.Copy(io.Discard, body)
 	return err == nil && !p.closeAfter
@@ -323,10 +323,11 @@
 	if err := response.Header.Write(&head); err != nil {
 		return fmt.Errorf("format the response header: %w", err)
 	}
-	chunked := response.Rest != nil
+	chunked := response.Rest != nil && !p.http10
 	switch {
 	case chunked:
 		head.WriteString("Transfer-Encoding: chunked\r\n")
+	case response.Rest != nil:
 	case response.Status != http.StatusNoContent && response.Status != http.StatusNotModified:
 		head.WriteString("Content-Length: " + strconv.Itoa(len(response.Body)) + "\r\n")
 	}
@@ -341,6 +342,9 @@
 	if chunked {
 		return c.writeChunked(&head, response)
 	}
+	if response.Rest != nil {
+		return c.writeUntilClose(&head, response)
+	}
 	if len(response.Body) <= maxCoalescedBodyBytes {
 		head.Write(response.Body)
 		_, err := c.netConn.Write(head.Bytes())
@@ -355,6 +359,31 @@
 // with its header.
 const maxCoalescedBodyBytes = 16 << 10
 
+// writeUntilClose writes a streamed response to an HTTP/1.0 caller, which knows no
+// chunks: the body ends with the connection. If the body is incomplete, the
+// connection is reset, so that the caller does not take it for a complete one.
+func (c *conn) writeUntilClose(head *bytes.Buffer, response *Response) error {
+	defer func() { _ = response.Rest.Close() }()
+	source := io.MultiReader(head, bytes.NewReader(response.Body), response.Rest)
+	buffer := make([]byte, maxCoalescedBodyBytes)
+	for {
+		n, err := source.Read(buffer)
+		_ = c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, writeErr := c.netConn.Write(buffer[:n]); writeErr != nil {
+			return fmt.Errorf("write the response: %w", writeErr)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			if lingerer, ok := c.netConn.(interface{ SetLinger(sec int) error }); ok {
+				_ = lingerer.SetLinger(0)
+			}
+			return fmt.Errorf("read the rest of the response: %w", err)
+		}
+	}
+}
+
 // writeChunked writes a streamed response with chunked transfer encoding.
 func (c *conn) writeChunked(head *bytes.Buffer, response *Response) error {
 	defer func() { _ = response.Rest.Close() }()
--- a/ingress/ingress_test.go
+++ b/ingress/ingress_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -75,6 +76,59 @@
 	}
 	get := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\n\r\n" }
 
+	// Guards against one request that ends the process, and with it the requests of all
+	// other connections.
+	It("answers 500 if the handler panics, and goes on", func() {
+		var panics atomic.Int32
+		start(func(_ context.Context, r *ingress.Request) *ingress.Response {
+			if r.Target == "/panic" {
+				panic("unexpected")
+			}
+			return newResponse(200, "")
+		})
+		server.OnPanic = func(value any, stack []byte) {
+			if value == "unexpected" && len(stack) > 0 {
+				panics.Add(1)
+			}
+		}
+		conn, reader := dial()
+		_, _ = io.WriteString(conn, get("/panic"))
+		response, _ := readResponse(reader)
+		Expect(response.StatusCode).To(Equal(500))
+		Expect(response.Close).To(BeTrue())
+		Expect(panics.Load()).To(Equal(int32(1)))
+		conn, reader = dial()
+		_, _ = io.WriteString(conn, get("/"))
+		response, _ = readResponse(reader)
+		Expect(response.StatusCode).To(Equal(200))
+	})
+
+	// Guards against chunks sent to an HTTP/1.0 caller, which would take the sizes for
+	// content, and against a truncated response that looks complete to it.
+	DescribeTable("ends a streamed response to an HTTP/1.0 caller with the connection",
+		func(rest io.Reader, complete bool) {
+			start(func(context.Context, *ingress.Request) *ingress.Response {
+				response := newResponse(200, "begin ")
+				response.Rest = io.NopCloser(rest)
+				return response
+			})
+			conn, reader := dial()
+			_, _ = io.WriteString(conn, "GET / HTTP/1.0\r\nHost: a.example\r\n\r\n")
+			response, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.TransferEncoding).To(BeEmpty())
+			body, err := io.ReadAll(response.Body)
+			if complete {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(string(body)).To(Equal("begin end"))
+			} else {
+				Expect(err).To(HaveOccurred())
+			}
+		},
+		Entry("complete", strings.NewReader("end"), true),
+		Entry("truncated", io.MultiReader(strings.NewReader("en"), iotest.ErrReader(io.ErrUnexpectedEOF)), false),
+	)
+
 	// Guards against pipelined requests that run one after the other, and
 	// against responses in the wrong order.
 	It("runs pipelined requests concurrently and responds in order", func() {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,9 @@
 	Handler Handler
 	// Limits returns the current limits.
 	Limits func() Limits
+	// OnPanic is called with the value and the stack of a panic in the handler,
+	// which ends only its own request; it may be nil.
+	OnPanic func(value any, stack []byte)
 	// MaxConnections bounds the open connections. Further ones are closed at
 	// once.
 	MaxConnections int
@@ -93,6 +97,20 @@
 	}
 }
 
+// handle calls the handler. If it panics, the response says nothing about whether
+// the request ran.
+func (s *Server) handle(ctx context.Context, r *Request) (response *Response) {
+	defer func() {
+		if value := recover(); value != nil {
+			if s.OnPanic != nil {
+				s.OnPanic(value, debug.Stack())
+			}
+			response = &Response{Status: http.StatusInternalServerError, Header: http.Header{}, Close: true}
+		}
+	}()
+	return s.Handler.Serve(ctx, r)
+}
+
 // setListener stores the listener for Shutdown. It returns false if Shutdown was
 // called before and therefore could not close the listener.
 func (s *Server) setListener(listener net.Listener) bool {
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -129,25 +130,39 @@
 	return nil
 }
 
-// targetContext returns, for each target that the lines of the request name, the
-// newest earlier line about the target that the same instance wrote.
+// targetContext returns, for each instance that wrote lines of the request and each
+// target that these name, the newest line about the target that the instance wrote
+// before its last one of the request.
 func targetContext(requestLines, lines []logLine) []logLine {
+	byInstance := map[string][]logLine{}
+	for _, line := range requestLines {
+		byInstance[line.Instance] = append(byInstance[line.Instance], line)
+	}
 	var newestLines []logLine
-	for _, name := range targetsOf(requestLines) {
-		var newest *logLine
-		for i := range lines {
-			line := &lines[i]
-			if line.Target == name && line.Request == "" && line.Instance == requestLines[0].Instance && line.index < requestLines[len(requestLines)-1].index {
-				newest = line
+	for _, instance := range slices.Sorted(maps.Keys(byInstance)) {
+		own := byInstance[instance]
+		for _, name := range targetsOf(own) {
+			if newest := newestTargetLine(lines, instance, name, own[len(own)-1].index); newest != nil {
+				newestLines = append(newestLines, *newest)
 			}
 		}
-		if newest != nil {
-			newestLines = append(newestLines, *newest)
-		}
 	}
 	return newestLines
 }
 
+// newestTargetLine returns the last line about a target that an instance wrote
+// before the line with the given index, or nil.
+func newestTargetLine(lines []logLine, instance, target string, before int) *logLine {
+	var newest *logLine
+	for i := range lines {
+		line := &lines[i]
+		if line.Target == target && line.Request == "" && line.Instance == instance && line.index < before {
+			newest = line
+		}
+	}
+	return newest
+}
+
 func targetsOf(requestLines []logLine) []string {
 	var names []string
 	add := func(name string) {
--- a/internal/standin/keyedstore/store.go
+++ b/internal/standin/keyedstore/store.go
@@ -237,7 +237,7 @@
 			return
 		}
 		if from < len(t.records) || expired {
-			data := encodeRecords(t, from)
+			data := encodeRecords(t, min(from, len(t.records)))
 			s.mu.Unlock()
 			_, _ = w.Write(data)
 			return
--- a/link/link.go
+++ b/link/link.go
@@ -36,6 +36,16 @@
 	return fmt.Sprintf("the only connection of the link to %s is closed", e.Address)
 }
 
+// RestartedError reports that the target restarted while a link to it was opened.
+type RestartedError struct {
+	Address    string
+	Generation uint32 // for which the link was opened
+}
+
+func (e *RestartedError) Error() string {
+	return fmt.Sprintf("target at %s restarted after generation %d while a link was opened", e.Address, e.Generation)
+}
+
 // UnsolicitedDataError reports a target that sent bytes before any request. They
 // would be parsed as the response to the first request.
 type UnsolicitedDataError struct {
--- a/link/owner.go
+++ b/link/owner.go
@@ -275,10 +275,15 @@
 		return err
 	}
 	s.mu.Lock()
-	if _, current := s.target.State(); current != generation || s.closed || !l.Alive() {
+	_, current := s.target.State()
+	if current != generation || s.closed || !l.Alive() {
 		s.mu.Unlock()
 		l.Close()
-		return &DialError{Address: s.target.Spec.Address, Err: &ClosedError{Address: s.target.Spec.Address}}
+		var cause error = &ClosedError{Address: s.target.Spec.Address}
+		if current != generation {
+			cause = &RestartedError{Address: s.target.Spec.Address, Generation: generation}
+		}
+		return &DialError{Address: s.target.Spec.Address, Err: cause}
 	}
 	s.open[l] = struct{}{}
 	isFirst := !s.hasTrusted(generation)
--- a/node/node.go
+++ b/node/node.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +17,7 @@
 	"fulmarhoist.example/feed"
 	"fulmarhoist.example/fleet"
 	"fulmarhoist.example/gateway"
+	"fulmarhoist.example/hop"
 	"fulmarhoist.example/ingress"
 	"fulmarhoist.example/relay"
 	"fulmarhoist.example/telemetry"
@@ -89,9 +89,9 @@
 }
 
 const (
-	// metricsPort and metricsPathPrefix are where a node serves its metrics.
-	metricsPort       = "9464"
-	metricsPathPrefix = "/metrics"
+	// metricsPort and metricsPath are where a node serves its metrics.
+	metricsPort = "9464"
+	metricsPath = "/metrics"
 	// directoryTTL is how long callers may cache a response of the directory. A
 	// short TTL soon directs them away from an instance that has ended.
 	directoryTTL = time.Second
@@ -248,7 +248,9 @@
 			}
 			return nil, &ListenError{Address: address, Err: err}
 		}
-		opened[address] = listener
+		opened[address] = &hop.RetryListener{Listener: listener, OnRetry: func(err error) {
+			n.logger.Warn().Str("event", "accept_failed").Str("address", address).Err(err).Msg("cannot accept connections for a moment")
+		}}
 	}
 	return opened, nil
 }
@@ -261,7 +263,7 @@
 		n.settings.ReadyAddress:     n.platform.ReadyHandler(n),
 		n.settings.DirectoryAddress: n.platform.DirectoryHandler(n),
 		n.metricsAddress(): http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if !strings.HasPrefix(r.URL.Path, metricsPathPrefix) {
+			if r.URL.Path != metricsPath {
 				w.WriteHeader(http.StatusNotFound)
 				return
 			}
--- a/node/reload.go
+++ b/node/reload.go
@@ -25,8 +25,7 @@
 const settingsReloadInterval = 5 * time.Second
 
 // watchSettings reloads the settings on a signal and periodically. Changed
-// bounds take effect immediately, except for Grace and RetryRatio, which like
-// the addresses are read only at startup.
+// bounds take effect immediately; the addresses are read only at startup.
 func (n *Node) watchSettings(ctx context.Context, reload <-chan os.Signal) {
 	ticker := time.NewTicker(settingsReloadInterval)
 	defer ticker.Stop()
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -75,7 +75,9 @@
 		telemetry.NewMetrics,
 		contract.NewFingerprints,
 		feed.NewHealth,
-		func() *gateway.Shutdown { return &gateway.Shutdown{Grace: settings.Bounds.Grace} },
+		func(b *currentBounds) *gateway.Shutdown {
+			return &gateway.Shutdown{Grace: func() time.Duration { return b.Load().Grace }}
+		},
 		newTables, newBounds, newBuffers, newRoster, newRegistry, newPools, newProber, newSender, newGateway, newServer, newApplier, newMembership, newNode,
 	}
 }
@@ -110,7 +112,7 @@
 func newRegistry(s *Settings, bounds *currentBounds, roster *fleet.Roster) *registry.Registry {
 	return registry.New(registry.Options{
 		OwnZone: s.Zone, RemoteRoundTrip: remoteRoundTrip, QueueLimit: queueLimit,
-		RetryPercent: int(math.Floor(100 * s.Bounds.RetryRatio * retryBudgetShare)),
+		RetryPercent: func() int { return int(math.Floor(100 * bounds.Load().RetryRatio * retryBudgetShare)) },
 		RetryMinimum: func() int {
 			return int(bounds.Load().RetryExtra * retryBudgetShare / float64(max(roster.View().ShareCount(), minShareCount)))
 		},
@@ -162,9 +164,13 @@
 		return 0
 	}
 	shares := max(view.ShareCount(), minShareCount)
-	return time.Duration(float64(shares) / (perSecond * probeBudgetShare * float64(targets)) * float64(time.Second))
+	seconds := float64(shares) / (perSecond * probeBudgetShare * float64(targets))
+	return time.Duration(min(seconds, maxProbeInterval.Seconds()) * float64(time.Second))
 }
 
+// maxProbeInterval is the longest time between two health probes of an instance.
+const maxProbeInterval = time.Hour
+
 func newSender(p *Platform, pools *targetconn.Pools, logger zerolog.Logger) *targetconn.Sender {
 	return &targetconn.Sender{Pools: pools, Protocol: p.Protocol, Logger: logger}
 }
@@ -194,8 +200,13 @@
 	}
 }
 
-func newServer(s *Settings, g *gateway.Gateway, t *tables) *ingress.Server {
-	return &ingress.Server{Handler: g, Limits: t.limits, MaxConnections: int(s.MaxOpenFiles * callerFileShare)}
+func newServer(s *Settings, g *gateway.Gateway, t *tables, logger zerolog.Logger) *ingress.Server {
+	return &ingress.Server{
+		Handler: g, Limits: t.limits, MaxConnections: int(s.MaxOpenFiles * callerFileShare),
+		OnPanic: func(value any, stack []byte) {
+			logger.Error().Str("event", "request_panicked").Any("value", value).Bytes("stack", stack).Msg("handler of a request panicked")
+		},
+	}
 }
 
 // applierDeps holds the dependencies of an applier.
--- a/peerwire/conn.go
+++ b/peerwire/conn.go
@@ -277,10 +277,11 @@
 // writeBatch writes frame and all frames queued after it. It returns false if
 // writeLoop must return.
 func (c *Conn) writeBatch(out *bufio.Writer, frame []byte) bool {
-	_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 	defer func() { _ = c.nc.SetWriteDeadline(time.Time{}) }()
 	expectsReply := false
 	for {
+		// Each frame has its own deadline: a batch goes on while frames are queued.
+		_ = c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if frame == nil {
 			_ = out.Flush()
 			return false
--- a/peerwire/mesh.go
+++ b/peerwire/mesh.go
@@ -86,10 +86,12 @@
 	}
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	m.peers.Store(&map[string]*peer{})
-	m.wg.Go(m.acceptLoop)
 	return m
 }
 
+// Start begins to accept connections. The handler must be ready to be called.
+func (m *Mesh) Start() { m.wg.Go(m.acceptLoop) }
+
 // Close closes the listener and all connections, and waits until all goroutines
 // have ended.
 func (m *Mesh) Close() {
--- a/peerwire/mesh_test.go
+++ b/peerwire/mesh_test.go
@@ -252,4 +252,5 @@
 	handler.mesh = peerwire.NewMesh(peerwire.Options{
 		Self: p.identity, Key: key, Listener: n.listen(p.identity.ID), Handler: handler, Random: func() uint64 { return 1 }, Dial: n.dial,
 	})
+	handler.mesh.Start()
 }
--- a/peerwire/network_test.go
+++ b/peerwire/network_test.go
@@ -157,6 +157,7 @@
 	p.mesh = peerwire.NewMesh(peerwire.Options{
 		Self: p.identity, Key: key, Listener: n.listen(id), Handler: p, Random: rand.Uint64, Dial: n.dial,
 	})
+	p.mesh.Start()
 	return p
 }
 
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -47,9 +47,9 @@
 	// instance.
 	QueueLimit int
 	// RetryPercent and RetryMinimum set the retry budget of each service in this
-	// instance; see service.RetryBudget. The minimum decreases as the number of
-	// instances grows.
-	RetryPercent   int
+	// instance; see service.RetryBudget. Refresh applies changes of both: the minimum
+	// decreases as the number of instances grows.
+	RetryPercent   func() int
 	RetryMinimum   func() int
 	PacingInterval PacingIntervalFunc
 }
@@ -336,7 +336,7 @@
 
 // Refresh removes the targets that have been missing for too long, takes the
 // leaving ones out of the views, updates the pacing interval of cold targets and
-// the minimum of the retry budgets, and publishes the views if anything changed.
+// the retry budgets, and publishes the views if anything changed.
 func (r *Registry) Refresh(now time.Time) (changed Refreshed) {
 	for id, reg := range r.targets {
 		if !reg.missingUntil.IsZero() && !now.Before(reg.missingUntil) {
@@ -363,8 +363,9 @@
 			reg.target.SetPacingInterval(r.options.PacingInterval(id, spec))
 		}
 	}
-	minimum := r.options.RetryMinimum()
+	percent, minimum := r.options.RetryPercent(), r.options.RetryMinimum()
 	for _, s := range *r.services.Load() {
+		s.RetryBudget.SetPercent(percent)
 		s.RetryBudget.SetMinimum(minimum)
 	}
 	if r.dirty && r.config != nil {
@@ -383,7 +384,7 @@
 		name := r.config.Services[i].Name
 		s := old[name]
 		if s == nil {
-			s = service.New(name, r.options.QueueLimit, r.options.RetryPercent, service.LeastInFlight{})
+			s = service.New(name, r.options.QueueLimit, r.options.RetryPercent(), service.LeastInFlight{})
 			s.RetryBudget.SetMinimum(r.options.RetryMinimum())
 		}
 		next[name] = s
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -19,7 +19,7 @@
 
 var _ = Describe("Registry", func() {
 	var r *registry.Registry
-	var minimum int
+	var percent, minimum int
 	now := time.Now()
 	at := func(d time.Duration) time.Time { return now.Add(d) }
 	entry := func(id string) registry.Entry {
@@ -37,10 +37,10 @@
 	}
 
 	BeforeEach(func() {
-		minimum = 3
+		percent, minimum = 10, 3
 		r = registry.New(registry.Options{
 			OwnZone: "az-1", RemoteRoundTrip: time.Millisecond, QueueLimit: 10,
-			RetryPercent: 10, RetryMinimum: func() int { return minimum },
+			RetryPercent: func() int { return percent }, RetryMinimum: func() int { return minimum },
 			PacingInterval: func(string, *routing.Service) time.Duration { return time.Second },
 		})
 		r.SetConfig(&routing.Config{Version: 1, Services: []routing.Service{{Name: "orders", ColdDuration: 3 * time.Second}}})
@@ -236,6 +236,19 @@
 		Expect(granted()).To(BeZero())
 	})
 
+	// Guards against a changed share of retries that takes effect only after a
+	// restart, although the reload of the settings is logged.
+	It("applies a changed share of retries to existing services", func() {
+		r.Refresh(now)
+		budget := r.Service("orders").RetryBudget
+		percent = 0
+		r.Refresh(now)
+		Expect(budget.Allow(now)).To(BeFalse())
+		percent = 10
+		r.Refresh(now)
+		Expect(budget.Allow(now)).To(BeTrue())
+	})
+
 	// Guards against sending requests to a target that now belongs to another
 	// service.
 	It("moves a target that changes its service", func() {
