relay: pass on large values compressed, and wait at the relay in an outage

The list of members and each configuration exceed 8 KiB there, so that every instance read them from the store at each change, and while the store was away every instance called it several times a second, although its relay would tell it of the return.

Change: values above 1 KiB are passed on deflated, up to 48 KiB compressed, by relays that are in use; an instance of an earlier version is sent to the store for them. While neither the relay nor the instance reaches the store, reads wait at the relay, and joins, which cost a tenth of a call, every 0.5 s tell when the store is back; a read every 3 s remains as a fallback.

--- a/node/membership.go
+++ b/node/membership.go
@@ -31,6 +31,11 @@
 	// relayActiveWindow.
 	relayJoinInterval = 400 * time.Millisecond
 	relayActiveWindow = 2 * time.Second
+	// downJoinInterval is the time between two joins while the store does not
+	// respond, and downJoinTimeout the timeout of one. A join costs a tenth of
+	// another call, so it is what tells when the store is back.
+	downJoinInterval = 500 * time.Millisecond
+	downJoinTimeout  = 800 * time.Millisecond
 	// initialJoinInterval is the time between the first initialJoins joins. The
 	// store lists a member only after the others have joined again; after these
 	// joins all instances that started at the same time are known.
@@ -82,6 +87,9 @@
 	if m.joinCount < initialJoins {
 		return initialJoinInterval
 	}
+	if m.storeHealth.Down() {
+		return downJoinInterval
+	}
 	if m.roster.IsRelay() || m.buffers.UsedWithin(now, relayActiveWindow) {
 		return relayJoinInterval
 	}
@@ -90,7 +98,11 @@
 
 // join renews the membership once, and reads the members if they have changed.
 func (m *membership) join(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	timeout := storeTimeout
+	if m.storeHealth.Down() {
+		timeout = downJoinTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	began := time.Now()
 	generation, err := m.group.Join(ctx, m.self, m.ttl, m.generation)
--- a/node/node.go
+++ b/node/node.go
@@ -215,7 +215,7 @@
 // reads through the instance that is the relay of the zone.
 func (n *Node) relayLog(topic string) feed.Log {
 	return &relay.Log{
-		Client: relayClient(n.roster, n.logger, topic), Store: n.platform.Log, Buffer: n.buffers[topic],
+		Client: relayClient(n.roster, n.storeHealth, n.logger, topic), Store: n.platform.Log, Buffer: n.buffers[topic],
 	}
 }
 
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -97,9 +97,10 @@
 
 // relayClient returns a client of the relay through which this instance reads a
 // topic.
-func relayClient(roster *fleet.Roster, logger zerolog.Logger, topic string) relay.Client {
+func relayClient(roster *fleet.Roster, health *feed.Health, logger zerolog.Logger, topic string) relay.Client {
 	return relay.Client{
 		RelayAddress: roster.Relay,
+		StoreDown:    health.Down,
 		OnRelayLost: func(address string, err error) {
 			logger.Info().Str("event", "relay_lost").Str("topic", topic).Str("address", address).Err(err).
 				Msg("relay is unavailable; reading the store directly for a while")
@@ -244,7 +245,7 @@
 	return &membership{
 		self: selfMember(p.Settings), group: p.Platform.Group, roster: p.Roster, storeHealth: p.Health, buffers: p.Buffers,
 		members: &relay.Members{
-			Client: relayClient(p.Roster, p.Logger, relay.TopicMembers), List: p.Platform.Group.Members,
+			Client: relayClient(p.Roster, p.Health, p.Logger, relay.TopicMembers), List: p.Platform.Group.Members,
 			Buffer: p.Buffers[relay.TopicMembers],
 		},
 		ttl: max(joinTTL, p.Settings.MinTTL), logger: p.Logger,
--- a/peerwire/frame.go
+++ b/peerwire/frame.go
@@ -81,7 +81,7 @@
 // DecodeFrame decodes a message from a frame without the length prefix.
 func DecodeFrame(frame []byte) (Message, error) {
 	rest := bytes.NewReader(frame)
-	r := reader{dec: msgpack.GetDecoder()}
+	r := reader{dec: msgpack.GetDecoder(), rest: rest}
 	defer msgpack.PutDecoder(r.dec)
 	r.dec.Reset(rest)
 	if n := r.arrayLen(2); r.err == nil && n != 2 {
@@ -135,8 +135,9 @@
 // reader decodes fields and remembers the first error. After an error, every
 // field is decoded as its zero value and every list as empty.
 type reader struct {
-	dec *msgpack.Decoder
-	err error
+	dec  *msgpack.Decoder
+	rest *bytes.Reader // what has not been decoded yet
+	err  error
 }
 
 func decodeField[T any](r *reader, next func() (T, error)) T {
@@ -148,10 +149,27 @@
 }
 
 func (r *reader) uint() uint64   { return decodeField(r, r.dec.DecodeUint64) }
-func (r *reader) string() string { return decodeField(r, r.dec.DecodeString) }
-func (r *reader) bytes() []byte  { return decodeField(r, r.dec.DecodeBytes) }
+func (r *reader) string() string { return string(r.bytes()) }
 func (r *reader) bool() bool     { return decodeField(r, r.dec.DecodeBool) }
 
+// bytes decodes bytes or a string. A forged length allocates nothing: the library's
+// decoder would reserve up to 4 GiB, also for a peer that has not proved the key yet.
+func (r *reader) bytes() []byte {
+	length := decodeField(r, r.dec.DecodeBytesLen)
+	if r.err != nil || length < 0 {
+		return nil
+	}
+	if length > r.rest.Len() {
+		r.err = &ListSizeError{Elements: length, Limit: r.rest.Len()}
+		return nil
+	}
+	value := make([]byte, length)
+	if _, err := io.ReadFull(r.rest, value); err != nil {
+		r.err = err
+	}
+	return value
+}
+
 // arrayLen decodes the length of an array and rejects one above limit. Callers
 // append the elements one by one, so that a forged length allocates nothing.
 func (r *reader) arrayLen(limit int) int {
--- a/relay/buffer.go
+++ b/relay/buffer.go
@@ -22,24 +22,43 @@
 	// relay no longer returns records. Changes must reach all instances within two
 	// seconds.
 	staleAfter = 1100 * time.Millisecond
-	// maxRelayedValueBytes is the maximum size of a relayed value. Sending a large
-	// configuration to every instance of a zone would saturate a slow network link
-	// of the relay for seconds; they read it from the store instead.
-	maxRelayedValueBytes = 8 << 10
+	// maxPlainValueBytes is the size above which a value is compressed.
+	maxPlainValueBytes = 1 << 10
+	// maxRelayedValueBytes is the maximum size of a relayed value, compressed if it
+	// is. Sending a larger one to every instance of a zone could saturate a slow
+	// network link of the relay for a second; they read it from the store instead.
+	maxRelayedValueBytes = 48 << 10
+	// maxValueBytes bounds the decompressed values of one response together.
+	maxValueBytes = 16 << 20
+	// activeWindow is the time after a request of another instance during which
+	// large values are kept. An instance that is not a relay does not spend
+	// processor time on compressing them.
+	activeWindow = 30 * time.Second
 )
 
 // bufferedRecord is a record in a buffer.
 type bufferedRecord struct {
-	record       feed.Record
+	record       wireRecord
 	valueDropped bool // the value is too large to be relayed and was dropped
 }
 
-// newBufferedRecord returns the record as a buffer keeps it, without a large value.
-func newBufferedRecord(r feed.Record) bufferedRecord {
-	if len(r.Value) > maxRelayedValueBytes {
-		return bufferedRecord{record: feed.Record{Key: r.Key}, valueDropped: true}
+// newBufferedRecord returns the record as a buffer keeps it: with a large value
+// compressed, or dropped if compress is false or it is too large even then.
+func newBufferedRecord(r feed.Record, compress bool) bufferedRecord {
+	kept := wireRecord{Key: r.Key, Value: r.Value, Deleted: r.Deleted}
+	if len(r.Value) <= maxPlainValueBytes {
+		return bufferedRecord{record: kept}
 	}
-	return bufferedRecord{record: r}
+	kept.Value = nil
+	if !compress {
+		return bufferedRecord{record: kept, valueDropped: true}
+	}
+	compressed, err := deflate(r.Value)
+	if err != nil || len(compressed) > maxRelayedValueBytes {
+		return bufferedRecord{record: kept, valueDropped: true}
+	}
+	kept.Value, kept.Deflated = compressed, true
+	return bufferedRecord{record: kept}
 }
 
 // Buffer holds the newest records of a topic for other instances. It is safe for
@@ -70,9 +89,16 @@
 func (b *Buffer) RecordStoreResponse(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	wasStale := b.stale(now)
 	b.storeRespondedAt = now
+	if wasStale {
+		b.notify()
+	}
 }
 
+// stale reports whether the store has not responded recently. The caller holds mu.
+func (b *Buffer) stale(now time.Time) bool { return now.Sub(b.storeRespondedAt) > staleAfter }
+
 // UsedWithin reports whether another instance has made a request within the
 // given time.
 func (b *Buffer) UsedWithin(now time.Time, within time.Duration) bool {
@@ -97,8 +123,9 @@
 	if from != b.firstOffset+uint64(len(b.records)) {
 		b.firstOffset, b.records = from, nil
 	}
+	compress := b.latestOnly || !b.usedAt.IsZero() && b.storeRespondedAt.Sub(b.usedAt) <= activeWindow
 	for i := range records {
-		b.records = append(b.records, newBufferedRecord(records[i]))
+		b.records = append(b.records, newBufferedRecord(records[i], compress))
 	}
 	if excess := len(b.records) - maxBufferedRecords; excess > 0 {
 		b.records = append([]bufferedRecord(nil), b.records[excess:]...)
@@ -117,30 +144,36 @@
 
 // readResult is the result of reading a buffer from an offset on.
 type readResult struct {
-	batch feed.Batch
+	records []wireRecord
+	next    uint64 // offset after the records
+	// stale is true if the store has not responded recently; there are no records
+	// then.
+	stale bool
 	// readStore is true if some of the records are not in the buffer, because they
 	// are too large or too old, and must be read from the store.
 	readStore bool
-	changed   <-chan struct{} // closed when records are added or discarded
+	deflated  bool            // some of the values are compressed
+	changed   <-chan struct{} // closed when records are added or discarded, or the store responds again
 }
 
-// read returns the records from an offset on, or false if the store has not
-// responded recently. It records a request of another instance.
-func (b *Buffer) read(now time.Time, from uint64) (readResult, bool) {
+// read returns the records from an offset on. It records a request of another
+// instance.
+func (b *Buffer) read(now time.Time, from uint64) readResult {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.usedAt = now
-	next := b.firstOffset + uint64(len(b.records))
-	if now.Sub(b.storeRespondedAt) > staleAfter {
-		return readResult{}, false
+	if b.stale(now) {
+		return readResult{stale: true, changed: b.changed}
 	}
-	result := readResult{batch: feed.Batch{Next: max(from, next)}, readStore: from < b.firstOffset && !b.latestOnly, changed: b.changed}
+	next := b.firstOffset + uint64(len(b.records))
+	result := readResult{next: max(from, next), readStore: from < b.firstOffset && !b.latestOnly, changed: b.changed}
 	for i := max(from, b.firstOffset); i < next; i++ {
 		r := &b.records[i-b.firstOffset]
 		result.readStore = result.readStore || r.valueDropped
-		result.batch.Records = append(result.batch.Records, r.record)
+		result.deflated = result.deflated || r.record.Deflated
+		result.records = append(result.records, r.record)
 	}
-	return result, true
+	return result
 }
 
 // Buffers maps topics to their buffers. The topic TopicMembers holds the list of
--- a/relay/client.go
+++ b/relay/client.go
@@ -6,15 +6,20 @@
 	"net"
 	"sync"
 	"time"
+
+	"fulmarhoist.example/feed"
 )
 
-// Client sends requests to the relay of this instance. RelayAddress and
-// OnRelayLost must be set before the first request. Requests are made from a
-// single goroutine.
+// Client sends requests to the relay of this instance. The exported fields must be
+// set before the first request. Requests are made from a single goroutine.
 type Client struct {
 	// RelayAddress returns the address of the relay, or "" if this instance
 	// reads from the store itself.
 	RelayAddress func() string
+	// StoreDown reports whether the store did not respond to the latest call of
+	// this instance. Requests then wait at a relay that does not reach the store
+	// either.
+	StoreDown func() bool
 	// OnRelayLost is called when a request to the relay has failed and this
 	// instance reads from the store for a while.
 	OnRelayLost func(address string, err error)
@@ -78,9 +83,15 @@
 	}
 }
 
+// pollResult is the response of the relay to one request.
+type pollResult struct {
+	feed.Batch
+	readStore bool // the records must be read from the store
+}
+
 // poll sends one request to the relay and returns its response, or a *StaleError if
 // the relay has no current records.
-func (c *Client) poll(ctx context.Context, address string, topic string, from uint64) (*response, error) {
+func (c *Client) poll(ctx context.Context, address string, topic string, from uint64) (*pollResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
 	defer cancel()
 	conn, err := c.connect(ctx, address)
@@ -89,18 +100,22 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	req := request{Topic: topic, From: from, WaitMs: pollWait.Milliseconds()}
+	req := request{Topic: topic, From: from, WaitMs: pollWait.Milliseconds(), Deflate: true, WaitStale: c.StoreDown()}
 	if err := writeFrame(conn, &req); err != nil {
 		return nil, err
 	}
 	var resp response
-	if err := readFrame(conn, &resp); err != nil {
+	if err := readFrame(conn, maxResponseBytes, resp.decode); err != nil {
 		return nil, err
 	}
 	if !resp.Current {
 		return nil, &StaleError{address}
 	}
-	return &resp, nil
+	records, err := inflateRecords(resp.Records)
+	if err != nil {
+		return nil, err
+	}
+	return &pollResult{Batch: feed.Batch{Records: records, Next: resp.Next}, readStore: resp.ReadStore}, nil
 }
 
 // connect returns the connection to the relay with the given address. It opens one
--- a/relay/log.go
+++ b/relay/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -16,8 +17,15 @@
 	Client
 	Store  feed.Log
 	Buffer *Buffer
+
+	readStoreAt time.Time // when the latest read from the store began
 }
 
+// downReadInterval is the minimum time between two reads from the store while
+// neither the relay nor this instance reaches it. Membership renewals, which are
+// cheaper, normally tell sooner that it is back.
+const downReadInterval = 3 * time.Second
+
 // Newest implements feed.Log. It always reads from the store.
 func (l *Log) Newest(ctx context.Context, topic string) (feed.Batch, error) {
 	batch, err := l.Store.Newest(ctx, topic)
@@ -30,7 +38,8 @@
 }
 
 // Read implements feed.Log. It reads from the store if the relay fails or does not
-// hold the records.
+// hold the records. It returns a *StaleError if neither the relay nor this instance
+// reaches the store.
 func (l *Log) Read(ctx context.Context, topic string, from uint64, wait time.Duration) (feed.Batch, error) {
 	deadline := time.Now().Add(wait)
 	for ctx.Err() == nil {
@@ -43,17 +52,22 @@
 			l.disconnect()
 			return feed.Batch{}, fmt.Errorf("read topic %s from relay at %s: %w", topic, address, ctx.Err())
 		}
+		var stale *StaleError
+		if errors.As(err, &stale) && l.StoreDown() && time.Since(l.readStoreAt) < downReadInterval {
+			return feed.Batch{}, err
+		}
 		if err != nil {
 			l.dropRelay(time.Now(), address, err)
 			break
 		}
-		if resp.ReadStore {
+		if resp.readStore {
 			break
 		}
 		if len(resp.Records) > 0 || time.Now().After(deadline) {
-			return feed.Batch{Records: resp.Records, Next: resp.Next}, nil
+			return resp.Batch, nil
 		}
 	}
+	l.readStoreAt = time.Now()
 	batch, err := l.Store.Read(ctx, topic, from, wait)
 	if err != nil {
 		return batch, fmt.Errorf("read topic %s from the store: %w", topic, err)
--- a/relay/members.go
+++ b/relay/members.go
@@ -55,23 +55,34 @@
 	return members, nil
 }
 
+// membersPolls is the number of requests for the members before they are read from
+// the store. The relay renews its own membership about once per request.
+const membersPolls = 2
+
 // fromRelay requests the members from the relay. It returns false if there is no
-// relay, if it fails, or if it does not learn of the generation within pollWait.
+// relay, if it fails, or if it does not learn of the generation in time.
 func (m *Members) fromRelay(ctx context.Context, generation uint64) ([]fleet.Member, bool) {
-	address := m.activeRelay(time.Now())
-	if address == "" {
-		return nil, false
+	for range membersPolls {
+		address := m.activeRelay(time.Now())
+		if address == "" {
+			return nil, false
+		}
+		resp, err := m.poll(ctx, address, TopicMembers, generation)
+		if err != nil {
+			m.dropRelay(time.Now(), address, err)
+			return nil, false
+		}
+		if len(resp.Records) > 0 {
+			return m.decode(address, resp.Records[0].Value)
+		}
 	}
-	resp, err := m.poll(ctx, address, TopicMembers, generation)
+	return nil, false
+}
+
+// decode decodes a list of members from the relay.
+func (m *Members) decode(address string, value []byte) ([]fleet.Member, bool) {
+	members, err := decodeMembers(value)
 	if err != nil {
-		m.dropRelay(time.Now(), address, err)
-		return nil, false
-	}
-	if len(resp.Records) == 0 {
-		return nil, false
-	}
-	var members []fleet.Member
-	if err := msgpack.Unmarshal(resp.Records[0].Value, &members); err != nil {
 		m.dropRelay(time.Now(), address, fmt.Errorf("relay: decode members from relay at %s: %w", address, err))
 		return nil, false
 	}
--- a/relay/server.go
+++ b/relay/server.go
@@ -46,7 +46,7 @@
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
 		var req request
-		if readFrame(conn, &req) != nil {
+		if readFrame(conn, maxRequestBytes, req.decode) != nil {
 			return
 		}
 		resp := s.respond(ctx, &req)
@@ -68,14 +68,16 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for expired := false; ; {
-		result, ok := buffer.read(time.Now(), req.From)
+		result := buffer.read(time.Now(), req.From)
 		switch {
-		case !ok:
+		case result.stale && (expired || !req.WaitStale):
 			return response{}
-		case result.readStore:
+		case result.stale:
+			// The store may respond again before the client stops waiting.
+		case result.readStore || result.deflated && !req.Deflate:
 			return response{Current: true, Next: req.From, ReadStore: true}
-		case expired || len(result.batch.Records) > 0:
-			return response{Current: true, Next: result.batch.Next, Records: result.batch.Records}
+		case expired || len(result.records) > 0:
+			return response{Current: true, Next: result.next, Records: result.records}
 		}
 		select {
 		case <-result.changed:
