node: do not read the store at the start before the relay is known

Change: after the first listing an instance waits, up to 1.6 s, until it knows its relay or that it has none, and lists the members at three of the first four joins. An instance keeps the records that it reads through a relay, since others may take it for the relay while their lists of members differ.

Test: feed, fleet and relay specs.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -209,6 +209,9 @@
 	// Interval is the delay of the next read after one that returned records, so
 	// that further records can be read in one batch.
 	Interval time.Duration
+	// AwaitSource, if set, is called between the first listing and the first read. It
+	// may wait until it is known where to read.
+	AwaitSource func(ctx context.Context)
 	// Deliver passes on an event; it may block.
 	Deliver func(ctx context.Context, event Event)
 	// Report is called when the store goes down, and with a nil error when it
@@ -243,6 +246,7 @@
 	backoff := minBackoff
 	next, listed := uint64(0), false
 	listings := 0 // since the last successful read
+	awaited := false
 	wait := f.Wait
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -283,6 +287,10 @@
 		next, listed, wait = after, true, f.Wait
 		if event.Listing || len(event.Records) > 0 {
 			f.Deliver(ctx, event)
+			if f.AwaitSource != nil && event.Listing && !awaited {
+				f.AwaitSource(ctx)
+				awaited = true
+			}
 			sleep(ctx, f.Interval)
 			wait = min(f.Wait, waitAfterRecords)
 		}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -99,6 +99,12 @@
 
 // run runs a follower of the log in virtual time while body runs.
 func run(t *testing.T, log *fakeLog, body func(f *fixture)) {
+	t.Helper()
+	runWith(t, log, func(*feed.Follower) {}, body)
+}
+
+// runWith is like run with a change of the follower before it starts.
+func runWith(t *testing.T, log *fakeLog, change func(*feed.Follower), body func(f *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		RegisterTestingT(t)
@@ -113,6 +119,7 @@
 			},
 			Report: func(string, error) {},
 		}
+		change(follower)
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); follower.Run(ctx) }()
@@ -336,3 +343,30 @@
 	_, settling = h.OutageEnd(at(4 * time.Second))
 	Expect(settling).To(BeFalse())
 }
+
+// Guards against reads from the store in the first seconds after the start, before it
+// is known which instance reads for this one.
+func TestFollowerAwaitsItsSourceBeforeTheFirstRead(t *testing.T) {
+	log := newFakeLog()
+	log.newest = []feed.Record{record("a")}
+	known := make(chan struct{})
+	runWith(t, log, func(follower *feed.Follower) {
+		known = make(chan struct{})
+		follower.AwaitSource = func(context.Context) { <-known }
+	}, func(f *fixture) {
+		time.Sleep(time.Second)
+		Expect(f.keys()).To(Equal([]string{"a"}), "the listing is applied at once")
+		Expect(log.reads).To(BeZero())
+		close(known)
+		log.change(func() { log.records = append(log.records, record("b")) })
+		time.Sleep(time.Second)
+		Expect(f.keys()).To(Equal([]string{"a", "b"}))
+		log.change(func() {
+			log.firstOffset = 2
+			log.records = append(log.records, record("c"))
+			log.newest = []feed.Record{record("c")}
+		})
+		time.Sleep(2 * time.Second)
+		Expect(f.keys()).To(ContainElement("c"), "awaited only once")
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,14 +42,15 @@
 // Roster holds the current view. Replace and MarkComplete must be called from a
 // single goroutine; all other methods are safe for concurrent use.
 type Roster struct {
-	self     Member
-	lastSeen map[string]time.Time // by member name
-	view     atomic.Pointer[View]
+	self       Member
+	lastSeen   map[string]time.Time // by member name
+	view       atomic.Pointer[View]
+	relayKnown chan struct{} // see RelayKnown
 }
 
 // NewRoster returns a roster whose only member is this instance.
 func NewRoster(self Member) *Roster {
-	r := &Roster{self: self, lastSeen: map[string]time.Time{}}
+	r := &Roster{self: self, lastSeen: map[string]time.Time{}, relayKnown: make(chan struct{})}
 	r.view.Store(&View{Members: []Member{self}, RecentMembers: 1})
 	return r
 }
@@ -76,14 +77,26 @@
 	if changed || old.RecentMembers != recent {
 		r.view.Store(&View{Members: next, RecentMembers: recent, Complete: old.Complete})
 	}
+	if r.relayMember() != nil {
+		r.markRelayKnown()
+	}
 	return changed
 }
 
+func (r *Roster) markRelayKnown() {
+	select {
+	case <-r.relayKnown:
+	default:
+		close(r.relayKnown)
+	}
+}
+
 // MarkComplete records that all members are known.
 func (r *Roster) MarkComplete() {
 	next := *r.View()
 	next.Complete = true
 	r.view.Store(&next)
+	r.markRelayKnown()
 }
 
 // ShareCount returns the number of instances among which a limit is divided.
@@ -140,6 +153,10 @@
 	return relay != nil && relay.Name == r.self.Name
 }
 
+// RelayKnown returns a channel that is closed once this instance has known, after its
+// start, of a relay in its zone, or that there is none.
+func (r *Roster) RelayKnown() <-chan struct{} { return r.relayKnown }
+
 // relayMember returns the instance that reads on behalf of the zone of this
 // instance: the first by name, or nil if the zone has fewer than
 // minMembersForRelay instances.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -76,6 +76,17 @@
 			Expect(roster(1, 3).Relay()).To(BeEmpty())
 		})
 
+		// Guards against instances that read from the store, or wait, although they
+		// could know which one reads for them.
+		It("is known with a large zone, or once all members are known", func() {
+			Expect(roster(3, 5).RelayKnown()).To(BeClosed())
+			r := roster(1, 3)
+			Expect(r.RelayKnown()).NotTo(BeClosed())
+			r.MarkComplete()
+			Expect(r.RelayKnown()).To(BeClosed())
+			r.MarkComplete()
+		})
+
 		It("is known to the instance that is the relay, before others read through it", func() {
 			Expect(roster(0, 5).IsRelay()).To(BeTrue())
 			Expect(roster(3, 5).IsRelay()).To(BeFalse())
--- a/node/membership.go
+++ b/node/membership.go
@@ -38,9 +38,11 @@
 	downJoinTimeout  = 800 * time.Millisecond
 	// initialJoinInterval is the time between the first initialJoins joins. The
 	// store lists a member only after the others have joined again; after these
-	// joins all instances that started at the same time are known.
+	// joins all instances that started at the same time are known. The members are
+	// not listed at the unlistedJoin, when some of these are still missing.
 	initialJoinInterval = 500 * time.Millisecond
 	initialJoins        = 4
+	unlistedJoin        = 2
 	// storeTimeout limits the duration of one join, including the read of the
 	// members.
 	storeTimeout = 2 * time.Second
@@ -118,6 +120,9 @@
 		m.markRosterComplete()
 		return
 	}
+	if m.joinCount == unlistedJoin {
+		return
+	}
 	listBegan := time.Now()
 	complete, err := m.refreshMembers(ctx, generation)
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -202,7 +202,7 @@
 	follow := func(topic string, interval time.Duration) *feed.Follower {
 		return &feed.Follower{
 			Log: n.relayLog(topic), Health: n.storeHealth, Topic: topic, Wait: readMaxWait, Interval: interval,
-			Deliver: n.applier.deliver, Report: report,
+			AwaitSource: n.awaitRelay, Deliver: n.applier.deliver, Report: report,
 		}
 	}
 	return []*feed.Follower{
@@ -211,6 +211,22 @@
 	}
 }
 
+// relayWait is how long after the first listing an instance waits until it knows
+// whether another one reads for it. Without the wait, instances that start together
+// make more calls in their first two seconds than in the next thirty.
+const relayWait = 1600 * time.Millisecond
+
+// awaitRelay waits until this instance knows its relay, or that it has none.
+func (n *Node) awaitRelay(ctx context.Context) {
+	timer := time.NewTimer(relayWait)
+	defer timer.Stop()
+	select {
+	case <-n.roster.RelayKnown():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // relayLog returns the log from which a topic is read. In a large zone, it
 // reads through the instance that is the relay of the zone.
 func (n *Node) relayLog(topic string) feed.Log {
--- a/relay/log.go
+++ b/relay/log.go
@@ -10,8 +10,8 @@
 )
 
 // Log reads one topic through the relay if there is one, and from the store
-// otherwise. Records that Read gets from the store are added to the buffer. Log
-// implements feed.Log for a single follower. All fields must be set before the
+// otherwise. Records that Read gets are added to the buffer. Log implements feed.Log
+// for a single follower. All fields must be set before the
 // first call.
 type Log struct {
 	Client
@@ -63,6 +63,9 @@
 		if resp.readStore {
 			break
 		}
+		// Other instances may take this one for the relay while their lists of
+		// members differ.
+		l.Buffer.Add(from, resp.Records)
 		if len(resp.Records) > 0 || time.Now().After(deadline) {
 			return resp.Batch, nil
 		}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -90,6 +90,30 @@
 		}
 	})
 
+	// Guards against an instance that others take for the relay, because their lists of
+	// members differ, and that holds no records since it reads through a relay itself.
+	It("keeps the records that it reads through the relay for other instances", func() {
+		buffer.RecordStoreResponse(time.Now())
+		buffer.Reset(0)
+		log.Buffer.RecordStoreResponse(time.Now())
+		log.Buffer.Reset(0)
+		buffer.Add(0, []feed.Record{{Key: "a", Value: []byte("1")}})
+		_, err := log.Read(ctx, "t", 0, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		serveCtx, stop := context.WithCancel(ctx)
+		DeferCleanup(stop)
+		go (&relay.Server{Buffers: relay.Buffers{"t": log.Buffer}}).Serve(serveCtx, listener)
+		third := &relay.Log{Store: store, Buffer: relay.NewBuffer(), Client: relay.Client{
+			StoreDown: storeDown.Load, RelayAddress: func() string { return listener.Addr().String() }, OnRelayLost: func(string, error) {},
+		}}
+		batch, err := third.Read(ctx, "t", 0, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(keys(batch)).To(Equal([]string{"a"}))
+		Expect(store.reads.Load()).To(BeZero())
+	})
+
 	// Guards against unnecessary calls to the store while there is a relay.
 	It("reads records from the relay", func() {
 		buffer.RecordStoreResponse(time.Now())
