node: join before the configuration is known, and list the members once at a start

Change: an instance joins once both topics are listed, passes on the generation that it received last, and lists the members at the first join (not at the first start of the deployment), at the last of the initial ones, and in between only through a relay. A list that was read through a relay is kept for others, like records.

Test: node/membership_test.go.

--- a/node/applier.go
+++ b/node/applier.go
@@ -61,6 +61,7 @@
 	storeHealth  *feed.Health
 	logger       zerolog.Logger
 	events       chan feed.Event
+	listed       chan struct{} // closed once both topics have been listed
 	ready        chan struct{} // closed once the configuration and the targets are known
 
 	configVersion uint64 // 0 before the first configuration
@@ -103,8 +104,8 @@
 	}
 }
 
-// refresh updates the registry, and closes ready once both topics have been
-// listed and a configuration is in force.
+// refresh updates the registry, and closes listed once both topics have been listed,
+// and ready once a configuration is in force too.
 func (a *applier) refresh(now time.Time) {
 	changed := a.registry.Refresh(now)
 	for _, id := range changed.Removed {
@@ -118,15 +119,23 @@
 		a.logger.Info().Str("event", "target_paused").Str("target", pause.TargetID).Dur("left", pause.Until.Sub(now)).
 			Msg("target asked for no requests for a while")
 	}
-	if a.operatorListed && a.targetsListed && a.configVersion > 0 {
-		select {
-		case <-a.ready:
-		default:
-			close(a.ready)
+	if a.operatorListed && a.targetsListed {
+		closeOnce(a.listed)
+		if a.configVersion > 0 {
+			closeOnce(a.ready)
 		}
 	}
 }
 
+// closeOnce closes a channel that only the caller closes, unless it is closed.
+func closeOnce(c chan struct{}) {
+	select {
+	case <-c:
+	default:
+		close(c)
+	}
+}
+
 func (a *applier) applyOperator(event feed.Event) {
 	now := time.Now()
 	evacuatedByZone := map[string]bool{}
--- a/node/applier_test.go
+++ b/node/applier_test.go
@@ -35,7 +35,7 @@
 			RetryPercent: func() int { return 10 }, RetryMinimum: func() int { return 1 },
 			PacingInterval: func(string, *routing.Service) time.Duration { return 0 },
 		}),
-		storeHealth: feed.NewHealth(), logger: zerolog.New(io.Discard), ready: make(chan struct{}),
+		storeHealth: feed.NewHealth(), logger: zerolog.New(io.Discard), listed: make(chan struct{}), ready: make(chan struct{}),
 	}
 }
 
--- a/node/membership.go
+++ b/node/membership.go
@@ -38,11 +38,9 @@
 	downJoinTimeout  = 800 * time.Millisecond
 	// initialJoinInterval is the time between the first initialJoins joins. The
 	// store lists a member only after the others have joined again; after these
-	// joins all instances that started at the same time are known. The members are
-	// not listed at the unlistedJoin, when some of these are still missing.
+	// joins all instances that started at the same time are known.
 	initialJoinInterval = 500 * time.Millisecond
 	initialJoins        = 4
-	unlistedJoin        = 2
 	// storeTimeout limits the duration of one join, including the read of the
 	// members.
 	storeTimeout = 2 * time.Second
@@ -60,10 +58,12 @@
 	members     *relay.Members
 	buffers     relay.Buffers
 	ttl         time.Duration
+	firstStart  bool // all instances of the deployment start for the first time
 	logger      zerolog.Logger
 
-	generation uint64
-	joinCount  int // successful joins so far
+	generation       uint64 // last one received; a join with it gives up what others own since
+	listedGeneration uint64 // of the latest complete list of members
+	joinCount        int    // successful joins so far
 }
 
 // run joins the group repeatedly until the context ends, then leaves it.
@@ -113,14 +113,15 @@
 		return
 	}
 	m.joinCount++
+	m.generation = generation
 	m.storeHealth.RecordDuration(time.Since(began))
 	m.buffers.RecordStoreResponse(time.Now())
 	m.storeHealth.RecordSuccess(time.Now())
-	if generation == m.generation {
+	if generation == m.listedGeneration {
 		m.markRosterComplete()
 		return
 	}
-	if m.joinCount == unlistedJoin {
+	if !m.listWorthwhile() {
 		return
 	}
 	listBegan := time.Now()
@@ -130,11 +131,26 @@
 		return
 	}
 	if complete {
-		m.generation = generation
+		m.listedGeneration = generation
 		m.markRosterComplete()
 	}
 }
 
+// listWorthwhile reports whether to read the list of members, which has changed.
+// During the initial joins, members that started at the same time are still missing
+// from it. It is read at the first one, for the members that were there before, and
+// at the last one; in between only if that costs no call to the store.
+func (m *membership) listWorthwhile() bool {
+	switch {
+	case m.joinCount >= initialJoins, m.roster.Relay() != "":
+		return true
+	case m.joinCount == 1:
+		return !m.firstStart
+	default:
+		return false
+	}
+}
+
 // markRosterComplete tells the roster that all members are known, once this
 // instance has joined initialJoins times.
 func (m *membership) markRosterComplete() {
--- /dev/null
+++ b/node/membership_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"fulmarhoist.example/feed"
+	"fulmarhoist.example/fleet"
+	"fulmarhoist.example/relay"
+)
+
+// fakeGroup is a Group whose generation changes with each of the first joins, as it
+// does while many instances start.
+type fakeGroup struct {
+	mu      sync.Mutex
+	joins   int
+	lists   []int // number of joins before each list
+	failure error
+}
+
+func (g *fakeGroup) Join(ctx context.Context, _ fleet.Member, _ time.Duration, _ uint64) (uint64, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.failure != nil {
+		return 0, g.failure
+	}
+	g.joins++
+	return uint64(min(g.joins, 3)), ctx.Err()
+}
+
+func (g *fakeGroup) Leave(context.Context, fleet.Member) error { return nil }
+
+func (g *fakeGroup) Members(context.Context) ([]fleet.Member, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lists = append(g.lists, g.joins)
+	return []fleet.Member{{Name: "a"}, {Name: "b"}}, nil
+}
+
+// runMembership runs a membership in virtual time while body runs.
+func runMembership(t *testing.T, firstStart bool, body func(m *membership, g *fakeGroup)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		group, self := &fakeGroup{}, fleet.Member{Name: "a"}
+		buffers := relay.NewBuffers()
+		m := &membership{
+			self: self, group: group, roster: fleet.NewRoster(self), storeHealth: feed.NewHealth(), buffers: buffers,
+			members: &relay.Members{
+				Client: relay.Client{RelayAddress: func() string { return "" }}, List: group.Members, Buffer: buffers[relay.TopicMembers],
+			},
+			ttl: joinTTL, firstStart: firstStart, logger: zerolog.New(io.Discard),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); m.run(ctx) }()
+		body(m, group)
+		cancel()
+		<-done
+	})
+}
+
+// Guards against a list of members per join while a whole deployment starts: at 188
+// instances these were 563 of 1,500 calls.
+func TestMembershipListsMembersOnceAtTheFirstStart(t *testing.T) {
+	runMembership(t, true, func(m *membership, g *fakeGroup) {
+		time.Sleep(5 * time.Second)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		Expect(g.lists).To(Equal([]int{4}))
+		Expect(m.roster.View().Complete).To(BeTrue())
+	})
+}
+
+// Guards against an instance that does not know the others for a second after its
+// restart.
+func TestMembershipListsMembersAtTheFirstJoinOfARestart(t *testing.T) {
+	runMembership(t, false, func(m *membership, g *fakeGroup) {
+		time.Sleep(100 * time.Millisecond)
+		Expect(m.roster.View().Members).To(HaveLen(2))
+		time.Sleep(5 * time.Second)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		Expect(g.lists).To(Equal([]int{1, 4}))
+	})
+}
+
+// Guards against noticing the return of the store late: while it is down, only joins
+// tell of it.
+func TestMembershipJoinsOftenWhileTheStoreIsDown(t *testing.T) {
+	runMembership(t, false, func(m *membership, g *fakeGroup) {
+		time.Sleep(5 * time.Second)
+		g.mu.Lock()
+		g.failure = io.ErrUnexpectedEOF
+		g.mu.Unlock()
+		time.Sleep(4 * time.Second)
+		Expect(m.storeHealth.Down()).To(BeTrue())
+		g.mu.Lock()
+		g.failure = nil
+		g.mu.Unlock()
+		time.Sleep(downJoinInterval + time.Millisecond)
+		Expect(m.storeHealth.Down()).To(BeFalse())
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -135,7 +135,8 @@
 		wg.Go(func() { f.Run(workCtx) })
 	}
 	var membershipDone sync.WaitGroup
-	membershipDone.Go(func() { n.joinWhenReady(ctx, workCtx) })
+	membershipDone.Go(func() { n.joinWhenListed(ctx, workCtx) })
+	wg.Go(func() { n.logWhenReady(workCtx) })
 	wg.Go(func() { n.watchSettings(workCtx, reload) })
 	if listener := listeners[selfMember(n.settings).Relay]; listener != nil {
 		wg.Go(func() { (&relay.Server{Buffers: n.buffers}).Serve(workCtx, listener) })
@@ -158,18 +159,28 @@
 	return err
 }
 
-// joinWhenReady waits until this instance can serve, then keeps it in the group
-// until ctx ends. It gives up waiting when either context ends.
-func (n *Node) joinWhenReady(ctx, workCtx context.Context) {
+// joinWhenListed waits until both topics have been listed, then keeps this instance in
+// the group until ctx ends. It gives up waiting when either context ends. After the
+// first start of a deployment, when there is no configuration yet, the instances
+// thus know who reads for them when it is published.
+func (n *Node) joinWhenListed(ctx, workCtx context.Context) {
 	select {
-	case <-n.applier.ready:
-		n.logger.Info().Str("event", "ready").Msg("configuration and targets are known")
+	case <-n.applier.listed:
 		n.membership.run(ctx)
 	case <-ctx.Done():
 	case <-workCtx.Done():
 	}
 }
 
+// logWhenReady logs that this instance can serve.
+func (n *Node) logWhenReady(ctx context.Context) {
+	select {
+	case <-n.applier.ready:
+		n.logger.Info().Str("event", "ready").Msg("configuration and targets are known")
+	case <-ctx.Done():
+	}
+}
+
 // drain shuts this instance down gracefully, without interrupting requests: it
 // leaves the group, accepts connections until CloseAfter, and waits until
 // EndAfter for the open connections to end.
--- a/node/settings.go
+++ b/node/settings.go
@@ -24,6 +24,9 @@
 
 	PeerPort string // port on which to listen for other instances; "" for none
 
+	// FirstStart is true if the whole deployment starts for the first time.
+	FirstStart bool
+
 	StoreAddress string        // address of the platform's store
 	MinTTL       time.Duration // minimum lifetime of a group membership at the store
 	Bounds       Bounds
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -225,7 +225,8 @@
 func newApplier(p applierDeps) *applier {
 	return &applier{
 		topics: p.Platform.Topics, decoder: p.Platform.Records, registry: p.Registry, currentTable: p.Tables, pools: p.Pools,
-		storeHealth: p.Health, logger: p.Logger, events: make(chan feed.Event), ready: make(chan struct{}),
+		storeHealth: p.Health, logger: p.Logger, events: make(chan feed.Event),
+		listed: make(chan struct{}), ready: make(chan struct{}),
 	}
 }
 
@@ -248,7 +249,7 @@
 			Client: relayClient(p.Roster, p.Health, p.Logger, relay.TopicMembers), List: p.Platform.Group.Members,
 			Buffer: p.Buffers[relay.TopicMembers],
 		},
-		ttl: max(joinTTL, p.Settings.MinTTL), logger: p.Logger,
+		ttl: max(joinTTL, p.Settings.MinTTL), firstStart: p.Settings.FirstStart, logger: p.Logger,
 	}
 }
 
--- a/relay/members.go
+++ b/relay/members.go
@@ -50,9 +50,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("relay: encode members: %w", err)
 	}
+	m.keep(generation, value)
+	return members, nil
+}
+
+// keep keeps the list of members at a generation for other instances.
+func (m *Members) keep(generation uint64, value []byte) {
 	m.Buffer.Reset(generation)
 	m.Buffer.Add(generation, []feed.Record{{Key: TopicMembers, Value: value}})
-	return members, nil
 }
 
 // membersPolls is the number of requests for the members before they are read from
@@ -73,6 +78,9 @@
 			return nil, false
 		}
 		if len(resp.Records) > 0 {
+			// Other instances may take this one for the relay while their lists of
+			// members differ.
+			m.keep(resp.Next-1, resp.Records[0].Value)
 			return m.decode(address, resp.Records[0].Value)
 		}
 	}
--- a/relay/wire_internal_test.go
+++ b/relay/wire_internal_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -16,6 +17,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"fulmarhoist.example/feed"
+	"fulmarhoist.example/fleet"
 )
 
 // Guards against an instance of an earlier version that takes a compressed value for
@@ -88,6 +90,26 @@
 	}
 }
 
+// Guards against a list of members that every instance of a large fleet reads from the
+// store at each change, because it is too large for the relay.
+func TestListOfManyMembersIsRelayed(t *testing.T) {
+	RegisterTestingT(t)
+	var members []fleet.Member
+	for i := range 1000 {
+		name := fmt.Sprintf("front-zone-%d-%d", i%5, i)
+		members = append(members, fleet.Member{
+			Name: name, Zone: fmt.Sprintf("zone-%d", i%5), Address: fmt.Sprintf("10.%d.0.%d:8126", i%5, i), Relay: fmt.Sprintf("10.%d.0.%d:7660", i%5, i),
+		})
+	}
+	value, err := msgpack.Marshal(members)
+	Expect(err).NotTo(HaveOccurred())
+	kept := newBufferedRecord(feed.Record{Key: TopicMembers, Value: value}, true)
+	Expect(kept.valueDropped).To(BeFalse())
+	records, err := inflateRecords([]wireRecord{kept.record})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(decodeMembers(records[0].Value)).To(Equal(members))
+}
+
 // Guards against an upgrade in which instances cannot read each other's messages.
 func TestDecoderSkipsUnknownFieldsOfLaterVersions(t *testing.T) {
 	RegisterTestingT(t)
