--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -261,14 +261,21 @@
 		r.deregister(old)
 		sleep(drainDuration)
 	}
-	if host.current() == old {
-		host.crash()
-		sleep(randomDuration(rng, 100*time.Millisecond, time.Second))
-		r.startTarget(host, old.service, false)
-	}
+	r.replaceTarget(host, old, rng)
 	return old.id
 }
 
+// replaceTarget ends a target that has left, unless it has crashed meanwhile, and
+// starts another one on its address.
+func (r *run) replaceTarget(host *targetHost, old *target, rng *rand.Rand) {
+	if host.current() != old {
+		return
+	}
+	host.crash()
+	sleep(randomDuration(rng, 100*time.Millisecond, time.Second))
+	r.startTarget(host, old.service, false)
+}
+
 // announceLeaving makes a target say in its responses that it leaves, while its
 // entry in the store says that it is ready, and then replaces it.
 func announceLeaving(r *run, rng *rand.Rand) string {
@@ -279,11 +286,7 @@
 	}
 	sleep(drainBound + drainDuration)
 	r.deregister(old)
-	if host.current() == old {
-		host.crash()
-		sleep(randomDuration(rng, 100*time.Millisecond, time.Second))
-		r.startTarget(host, old.service, false)
-	}
+	r.replaceTarget(host, old, rng)
 	return old.id
 }
 
