feed, fleet: read at once when the source is known after the start

An instance of a small zone waited until its fourth join, although its first list named the others.

Change: the read follows the wait at once, and the wait ends with the first list that names another instance.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -286,13 +286,14 @@
 		}
 		next, listed, wait = after, true, f.Wait
 		if event.Listing || len(event.Records) > 0 {
+			wait = min(f.Wait, waitAfterRecords)
 			f.Deliver(ctx, event)
-			if f.AwaitSource != nil && event.Listing && !awaited {
-				f.AwaitSource(ctx)
+			if f.AwaitSource != nil && !awaited {
 				awaited = true
+				f.AwaitSource(ctx)
+				continue // the wait has given further records time to come
 			}
 			sleep(ctx, f.Interval)
-			wait = min(f.Wait, waitAfterRecords)
 		}
 	}
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -357,10 +357,11 @@
 		time.Sleep(time.Second)
 		Expect(f.keys()).To(Equal([]string{"a"}), "the listing is applied at once")
 		Expect(log.reads).To(BeZero())
-		close(known)
 		log.change(func() { log.records = append(log.records, record("b")) })
+		close(known)
+		time.Sleep(10 * time.Millisecond)
+		Expect(f.keys()).To(Equal([]string{"a", "b"}), "read without a further delay")
 		time.Sleep(time.Second)
-		Expect(f.keys()).To(Equal([]string{"a", "b"}))
 		log.change(func() {
 			log.firstOffset = 2
 			log.records = append(log.records, record("c"))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,7 +77,7 @@
 	if changed || old.RecentMembers != recent {
 		r.view.Store(&View{Members: next, RecentMembers: recent, Complete: old.Complete})
 	}
-	if r.relayMember() != nil {
+	if len(next) > 1 {
 		r.markRelayKnown()
 	}
 	return changed
@@ -154,7 +154,8 @@
 }
 
 // RelayKnown returns a channel that is closed once this instance has known, after its
-// start, of a relay in its zone, or that there is none.
+// start, of other instances, and thus which of them is the relay of its zone, or
+// that it is alone.
 func (r *Roster) RelayKnown() <-chan struct{} { return r.relayKnown }
 
 // relayMember returns the instance that reads on behalf of the zone of this
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -78,9 +78,10 @@
 
 		// Guards against instances that read from the store, or wait, although they
 		// could know which one reads for them.
-		It("is known with a large zone, or once all members are known", func() {
+		It("is known with other instances, or once all members are known", func() {
 			Expect(roster(3, 5).RelayKnown()).To(BeClosed())
-			r := roster(1, 3)
+			Expect(roster(0, 2).RelayKnown()).To(BeClosed())
+			r := roster(0, 1)
 			Expect(r.RelayKnown()).NotTo(BeClosed())
 			r.MarkComplete()
 			Expect(r.RelayKnown()).To(BeClosed())
