relay: three relays a zone, and ask by a join before reading without one

Change: the first three instances of a zone by name can stand in for each other. A follower whose relay is out of date asks the store by a join, a tenth of a call, whether it responds to this instance: if so it goes on with the next relay, and only then to the store; if not it waits at the relay, and reads every 6 s. Just after an outage it gives the relay 0.4 s to return. What an instance reads through a relay counts as a response of the store for those that read through it.

Test: relay, fleet and node/membership specs.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -137,20 +137,29 @@
 // of them reads for the others. With fewer instances a relay saves few calls.
 const minMembersForRelay = 4
 
-// Relay returns the address of the instance that reads from the store on behalf
-// of this one, or "" if this instance reads for itself.
-func (r *Roster) Relay() string {
-	if relay := r.relayMember(); relay != nil && relay.Name != r.self.Name {
-		return relay.Relay
+// maxRelays is the number of instances of a zone through which the others can read.
+// If the first does not reach the store, one of the next ones takes its place, so
+// that not all instances of the zone call the store.
+const maxRelays = 3
+
+// Relays returns the addresses of the instances that may read from the store on
+// behalf of this one, in the order in which to ask them. There are none if this
+// instance reads for itself.
+func (r *Roster) Relays() (addresses []string) {
+	for _, m := range r.relayMembers() {
+		if m.Name == r.self.Name {
+			break
+		}
+		addresses = append(addresses, m.Relay)
 	}
-	return ""
+	return addresses
 }
 
 // IsRelay reports whether this instance reads on behalf of the others in its
 // zone.
 func (r *Roster) IsRelay() bool {
-	relay := r.relayMember()
-	return relay != nil && relay.Name == r.self.Name
+	relays := r.relayMembers()
+	return len(relays) > 0 && relays[0].Name == r.self.Name
 }
 
 // RelayKnown returns a channel that is closed once this instance has known, after its
@@ -158,26 +167,23 @@
 // that it is alone.
 func (r *Roster) RelayKnown() <-chan struct{} { return r.relayKnown }
 
-// relayMember returns the instance that reads on behalf of the zone of this
-// instance: the first by name, or nil if the zone has fewer than
+// relayMembers returns the instances that may read on behalf of the zone of this
+// instance: the first by name, or none if the zone has fewer than
 // minMembersForRelay instances.
-func (r *Roster) relayMember() *Member {
-	var first *Member
+func (r *Roster) relayMembers() (relays []Member) {
 	count := 0
-	members := r.View().Members
-	for i := range members {
-		if members[i].Zone != r.self.Zone {
+	for _, m := range r.View().Members {
+		if m.Zone != r.self.Zone {
 			continue
 		}
-		if first == nil {
-			first = &members[i]
+		if count++; len(relays) < maxRelays {
+			relays = append(relays, m)
 		}
-		count++
 	}
 	if count < minMembersForRelay {
 		return nil
 	}
-	return first
+	return relays
 }
 
 // ColdBound limits the requests that all instances together may send to a cold
--- a/node/membership.go
+++ b/node/membership.go
@@ -59,29 +59,85 @@
 	buffers     relay.Buffers
 	ttl         time.Duration
 	firstStart  bool // all instances of the deployment start for the first time
+	probe       *storeProbe
 	logger      zerolog.Logger
 
 	generation       uint64 // last one received; a join with it gives up what others own since
 	listedGeneration uint64 // of the latest complete list of members
 	joinCount        int    // successful joins so far
+	probedAt         time.Time
+	probedAnswer     bool // whether the store responded at probedAt
 }
 
 // run joins the group repeatedly until the context ends, then leaves it.
 func (m *membership) run(ctx context.Context) {
 	for {
 		began := time.Now()
-		m.join(ctx)
-		timer := time.NewTimer(time.Until(began.Add(m.nextInterval(began))))
+		m.join(ctx, m.joinTimeout())
+		if !m.awaitNextJoin(ctx, began) {
+			m.leave()
+			return
+		}
+	}
+}
+
+// awaitNextJoin waits until the next join is due, and answers probes meanwhile. The
+// latest join began at the given time. It returns false if the context ends.
+func (m *membership) awaitNextJoin(ctx context.Context, joinedAt time.Time) bool {
+	for {
+		timer := time.NewTimer(time.Until(joinedAt.Add(m.nextInterval(time.Now()))))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			m.leave()
-			return
+			return false
 		case <-timer.C:
+			return true
+		case reply := <-m.probe.requests:
+			timer.Stop()
+			if time.Since(m.probedAt) > probeValidity {
+				joinedAt = time.Now()
+				m.probedAnswer = m.join(ctx, downJoinTimeout)
+				m.probedAt = time.Now()
+			}
+			reply <- m.probedAnswer
 		}
 	}
 }
 
+// storeProbe asks the membership whether the store responds to this instance now. A
+// join costs a tenth of another call.
+type storeProbe struct {
+	requests chan chan<- bool
+}
+
+func newStoreProbe() *storeProbe { return &storeProbe{requests: make(chan chan<- bool)} }
+
+const (
+	// probeValidity is how long the answer to a probe is used for further ones.
+	probeValidity = 300 * time.Millisecond
+	// probeTimeout limits a probe that waits for a join in progress.
+	probeTimeout = 2 * downJoinTimeout
+)
+
+// responds reports whether the store responds. It returns false if this instance is
+// not a member of the group.
+func (p *storeProbe) responds(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	reply := make(chan bool, 1)
+	select {
+	case p.requests <- reply:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case answer := <-reply:
+		return answer
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // nextInterval returns the time until the next join. An instance that is a
 // relay for others joins more often, because it must detect within about a
 // second that it has lost the store.
@@ -98,19 +154,24 @@
 	return joinInterval
 }
 
-// join renews the membership once, and reads the members if they have changed.
-func (m *membership) join(ctx context.Context) {
-	timeout := storeTimeout
+// joinTimeout returns the timeout of the next join.
+func (m *membership) joinTimeout() time.Duration {
 	if m.storeHealth.Down() {
-		timeout = downJoinTimeout
+		return downJoinTimeout
 	}
+	return storeTimeout
+}
+
+// join renews the membership once, and reads the members if they have changed. It
+// reports whether the store responded to the renewal.
+func (m *membership) join(ctx context.Context, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	began := time.Now()
 	generation, err := m.group.Join(ctx, m.self, m.ttl, m.generation)
 	if err != nil {
 		m.reportFailure(began, err)
-		return
+		return false
 	}
 	m.joinCount++
 	m.generation = generation
@@ -119,15 +180,18 @@
 	m.storeHealth.RecordSuccess(time.Now())
 	if generation == m.listedGeneration {
 		m.markRosterComplete()
-		return
-	}
-	if !m.listWorthwhile() {
-		return
+	} else if m.listWorthwhile() {
+		m.listMembers(ctx, generation)
 	}
-	listBegan := time.Now()
+	return true
+}
+
+// listMembers reads the members at the given generation.
+func (m *membership) listMembers(ctx context.Context, generation uint64) {
+	began := time.Now()
 	complete, err := m.refreshMembers(ctx, generation)
 	if err != nil {
-		m.reportFailure(listBegan, err)
+		m.reportFailure(began, err)
 		return
 	}
 	if complete {
@@ -142,7 +206,7 @@
 // at the last one; in between only if that costs no call to the store.
 func (m *membership) listWorthwhile() bool {
 	switch {
-	case m.joinCount >= initialJoins, m.roster.Relay() != "":
+	case m.joinCount >= initialJoins, len(m.roster.Relays()) > 0:
 		return true
 	case m.joinCount == 1:
 		return !m.firstStart
--- a/node/node.go
+++ b/node/node.go
@@ -242,7 +242,7 @@
 // reads through the instance that is the relay of the zone.
 func (n *Node) relayLog(topic string) feed.Log {
 	return &relay.Log{
-		Client: relayClient(n.roster, n.storeHealth, n.logger, topic), Store: n.platform.Log, Buffer: n.buffers[topic],
+		Client: relayClient(n.roster, n.storeHealth, n.membership.probe, n.logger, topic), Store: n.platform.Log, Buffer: n.buffers[topic],
 	}
 }
 
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -78,7 +78,7 @@
 		func(b *currentBounds) *gateway.Shutdown {
 			return &gateway.Shutdown{Grace: func() time.Duration { return b.Load().Grace }}
 		},
-		newTables, newBounds, newBuffers, newRoster, newRegistry, newPools, newProber, newSender, newGateway, newServer, newApplier, newMembership, newNode,
+		newStoreProbe, newTables, newBounds, newBuffers, newRoster, newRegistry, newPools, newProber, newSender, newGateway, newServer, newApplier, newMembership, newNode,
 	}
 }
 
@@ -97,13 +97,15 @@
 
 // relayClient returns a client of the relay through which this instance reads a
 // topic.
-func relayClient(roster *fleet.Roster, health *feed.Health, logger zerolog.Logger, topic string) relay.Client {
+func relayClient(roster *fleet.Roster, health *feed.Health, probe *storeProbe, logger zerolog.Logger, topic string) relay.Client {
 	return relay.Client{
-		RelayAddress: roster.Relay,
-		StoreDown:    health.Down,
+		RelayAddresses: roster.Relays,
+		StoreDown:      health.Down,
+		StoreSettling:  func() bool { return health.Settling(time.Now()) },
+		StoreResponds:  probe.responds,
 		OnRelayLost: func(address string, err error) {
 			logger.Info().Str("event", "relay_lost").Str("topic", topic).Str("address", address).Err(err).
-				Msg("relay is unavailable; reading the store directly for a while")
+				Msg("relay is unavailable; reading without it for a while")
 		},
 	}
 }
@@ -239,6 +241,7 @@
 	Roster   *fleet.Roster
 	Health   *feed.Health
 	Buffers  relay.Buffers
+	Probe    *storeProbe
 	Logger   zerolog.Logger
 }
 
@@ -246,10 +249,10 @@
 	return &membership{
 		self: selfMember(p.Settings), group: p.Platform.Group, roster: p.Roster, storeHealth: p.Health, buffers: p.Buffers,
 		members: &relay.Members{
-			Client: relayClient(p.Roster, p.Health, p.Logger, relay.TopicMembers), List: p.Platform.Group.Members,
+			Client: relayClient(p.Roster, p.Health, p.Probe, p.Logger, relay.TopicMembers), List: p.Platform.Group.Members,
 			Buffer: p.Buffers[relay.TopicMembers],
 		},
-		ttl: max(joinTTL, p.Settings.MinTTL), firstStart: p.Settings.FirstStart, logger: p.Logger,
+		ttl: max(joinTTL, p.Settings.MinTTL), firstStart: p.Settings.FirstStart, probe: p.Probe, logger: p.Logger,
 	}
 }
 
--- a/relay/client.go
+++ b/relay/client.go
@@ -13,21 +13,27 @@
 // Client sends requests to the relay of this instance. The exported fields must be
 // set before the first request. Requests are made from a single goroutine.
 type Client struct {
-	// RelayAddress returns the address of the relay, or "" if this instance
-	// reads from the store itself.
-	RelayAddress func() string
+	// RelayAddresses returns the addresses of the relays in the order in which to
+	// ask them; none if this instance reads from the store itself.
+	RelayAddresses func() []string
 	// StoreDown reports whether the store did not respond to the latest call of
 	// this instance. Requests then wait at a relay that does not reach the store
 	// either.
 	StoreDown func() bool
+	// StoreSettling reports whether the store was down a moment ago. A relay that
+	// does not reach it yet will probably do so soon, and requests wait for that.
+	StoreSettling func() bool
+	// StoreResponds asks the store, by a call that costs little, whether it responds
+	// to this instance now.
+	StoreResponds func(ctx context.Context) bool
 	// OnRelayLost is called when a request to the relay has failed and this
 	// instance reads from the store for a while.
 	OnRelayLost func(address string, err error)
 
 	mu          sync.Mutex
 	conn        net.Conn
-	connAddress string    // address of the relay that conn leads to
-	bypassUntil time.Time // the relay is not used before this time
+	connAddress string               // address of the relay that conn leads to
+	bypassUntil map[string]time.Time // relays that have failed are not used before this time, by address
 }
 
 const (
@@ -37,8 +43,7 @@
 	// instances.
 	pollWait   = 400 * time.Millisecond
 	pollMargin = 300 * time.Millisecond
-	// bypassTime is how long this instance reads from the store directly after the
-	// relay has failed.
+	// bypassTime is how long this instance does not use a relay that has failed.
 	bypassTime = 3 * time.Second
 )
 
@@ -51,15 +56,17 @@
 
 func (e *StaleError) Error() string { return "relay at " + e.Address + " has no current records" }
 
-// activeRelay returns the address of the relay, or "" if the store is to be
-// read directly.
+// activeRelay returns the address of the first relay that has not failed recently, or
+// "" if the store is to be read directly.
 func (c *Client) activeRelay(now time.Time) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Before(c.bypassUntil) {
-		return ""
+	for _, address := range c.RelayAddresses() {
+		if !now.Before(c.bypassUntil[address]) {
+			return address
+		}
 	}
-	return c.RelayAddress()
+	return ""
 }
 
 // dropRelay closes the connection to a failed relay and bypasses the relay for a
@@ -67,7 +74,15 @@
 func (c *Client) dropRelay(now time.Time, address string, err error) {
 	c.disconnect()
 	c.mu.Lock()
-	c.bypassUntil = now.Add(bypassTime)
+	for known, until := range c.bypassUntil {
+		if !now.Before(until) {
+			delete(c.bypassUntil, known)
+		}
+	}
+	if c.bypassUntil == nil {
+		c.bypassUntil = map[string]time.Time{}
+	}
+	c.bypassUntil[address] = now.Add(bypassTime)
 	c.mu.Unlock()
 	c.OnRelayLost(address, err)
 }
@@ -100,7 +115,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	req := request{Topic: topic, From: from, WaitMs: pollWait.Milliseconds(), Deflate: true, WaitStale: c.StoreDown()}
+	req := request{Topic: topic, From: from, WaitMs: pollWait.Milliseconds(), Deflate: true, WaitStale: c.StoreDown() || c.StoreSettling()}
 	if err := writeFrame(conn, &req); err != nil {
 		return nil, err
 	}
--- a/relay/log.go
+++ b/relay/log.go
@@ -18,13 +18,13 @@
 	Store  feed.Log
 	Buffer *Buffer
 
-	readStoreAt time.Time // when the latest read from the store began
+	downSince time.Time // when Read first found the store down or last called it since; zero while it is up
 }
 
-// downReadInterval is the minimum time between two reads from the store while
-// neither the relay nor this instance reaches it. Membership renewals, which are
-// cheaper, normally tell sooner that it is back.
-const downReadInterval = 3 * time.Second
+// downReadInterval is the time between two reads from the store while neither the
+// relay nor this instance reaches it. Membership renewals, which are cheaper,
+// normally tell sooner that it is back.
+const downReadInterval = 6 * time.Second
 
 // Newest implements feed.Log. It always reads from the store.
 func (l *Log) Newest(ctx context.Context, topic string) (feed.Batch, error) {
@@ -53,24 +53,24 @@
 			return feed.Batch{}, fmt.Errorf("read topic %s from relay at %s: %w", topic, address, ctx.Err())
 		}
 		var stale *StaleError
-		if errors.As(err, &stale) && l.StoreDown() && time.Since(l.readStoreAt) < downReadInterval {
+		if errors.As(err, &stale) && l.waitsAtRelay(ctx) {
 			return feed.Batch{}, err
 		}
 		if err != nil {
 			l.dropRelay(time.Now(), address, err)
-			break
+			continue // with the next relay, if there is one
 		}
 		if resp.readStore {
 			break
 		}
-		// Other instances may take this one for the relay while their lists of
-		// members differ.
+		// Other instances may read through this one, while their lists of members
+		// differ or if the relay fails.
+		l.Buffer.RecordStoreResponse(time.Now())
 		l.Buffer.Add(from, resp.Records)
 		if len(resp.Records) > 0 || time.Now().After(deadline) {
 			return resp.Batch, nil
 		}
 	}
-	l.readStoreAt = time.Now()
 	batch, err := l.Store.Read(ctx, topic, from, wait)
 	if err != nil {
 		return batch, fmt.Errorf("read topic %s from the store: %w", topic, err)
@@ -79,3 +79,19 @@
 	l.Buffer.Add(from, batch.Records)
 	return batch, nil
 }
+
+// waitsAtRelay reports whether to go on asking a relay that does not reach the store:
+// this instance does not reach it either, and has not tried for a while.
+func (l *Log) waitsAtRelay(ctx context.Context) bool {
+	if !l.StoreDown() {
+		l.downSince = time.Time{}
+		return !l.StoreResponds(ctx)
+	}
+	now := time.Now()
+	if l.downSince.IsZero() || now.Sub(l.downSince) >= downReadInterval {
+		mayRead := !l.downSince.IsZero()
+		l.downSince = now
+		return !mayRead
+	}
+	return true
+}
--- a/relay/members.go
+++ b/relay/members.go
@@ -64,10 +64,10 @@
 // the store. The relay renews its own membership about once per request.
 const membersPolls = 2
 
-// fromRelay requests the members from the relay. It returns false if there is no
-// relay, if it fails, or if it does not learn of the generation in time.
+// fromRelay requests the members from a relay. It returns false if there is none, or
+// none that learns of the generation in time.
 func (m *Members) fromRelay(ctx context.Context, generation uint64) ([]fleet.Member, bool) {
-	for range membersPolls {
+	for polls := 0; polls < membersPolls; polls++ {
 		address := m.activeRelay(time.Now())
 		if address == "" {
 			return nil, false
@@ -75,11 +75,11 @@
 		resp, err := m.poll(ctx, address, TopicMembers, generation)
 		if err != nil {
 			m.dropRelay(time.Now(), address, err)
-			return nil, false
+			polls-- // another relay may answer
+			continue
 		}
 		if len(resp.Records) > 0 {
-			// Other instances may take this one for the relay while their lists of
-			// members differ.
+			// Other instances may read through this one too; see Log.Read.
 			m.keep(resp.Next-1, resp.Records[0].Value)
 			return m.decode(address, resp.Records[0].Value)
 		}
