--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -371,3 +371,22 @@
 		Expect(f.keys()).To(ContainElement("c"), "awaited only once")
 	})
 }
+
+// Guards against a configuration that takes effect seconds late: a read that began
+// before the record was appended missed it and went on waiting. The store was not
+// slow, and no records had come before.
+func TestFollowerReadsMissedRecordWithinItsWait(t *testing.T) {
+	const wait = 1200 * time.Millisecond
+	log := newFakeLog()
+	runWith(t, log, func(follower *feed.Follower) { follower.Wait = wait }, func(f *fixture) {
+		time.Sleep(time.Second)
+		log.change(func() { log.missNext = true })
+		time.Sleep(wait) // a read that misses all records has begun
+		log.change(func() {
+			log.records = append(log.records, record("a"))
+			log.missNext = false
+		})
+		time.Sleep(wait + time.Millisecond)
+		Expect(f.keys()).To(Equal([]string{"a"}))
+	})
+}
