node: complete the list of members as soon as an outage has settled

Change: joins come every 0.4 s until the list is complete; an incomplete one is not read again before the outage has settled.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -55,6 +55,10 @@
 		// outage.
 		Entry("seed 7000", SpecTimeout(time.Minute), uint64(7000), "path to the store impaired", "store forgets",
 			"all instances stopped in turn", "target crashes", "target leaves"),
+		// The directories listed an instance 6 s after its end: after an outage of
+		// the store the list of members was completed too late.
+		Entry("seed 9001", SpecTimeout(time.Minute), uint64(9001), "store refuses", "store forgets", "instance down for long",
+			"configuration changed", "target leaves"),
 		Entry("targets that announce in responses that they leave", SpecTimeout(time.Minute), uint64(300), "target announces that it leaves"),
 		Entry("targets that ask for a pause", SpecTimeout(time.Minute), uint64(301), "target asks for a pause"),
 		Entry("targets that respond without end", SpecTimeout(time.Minute), uint64(302), "target responds without end"),
--- a/node/membership.go
+++ b/node/membership.go
@@ -64,6 +64,7 @@
 
 	generation       uint64 // last one received; a join with it gives up what others own since
 	listedGeneration uint64 // of the latest complete list of members
+	partlyListed     uint64 // generation of the latest incomplete list
 	joinCount        int    // successful joins so far
 	probedAt         time.Time
 	probedAnswer     bool // whether the store responded at probedAt
@@ -148,6 +149,9 @@
 	if m.storeHealth.Down() {
 		return downJoinInterval
 	}
+	if m.generation != m.listedGeneration {
+		return relayJoinInterval // the list is completed as soon as the outage has settled
+	}
 	if m.roster.IsRelay() || m.buffers.UsedWithin(now, relayActiveWindow) {
 		return relayJoinInterval
 	}
@@ -194,18 +198,23 @@
 		m.reportFailure(began, err)
 		return
 	}
-	if complete {
-		m.listedGeneration = generation
-		m.markRosterComplete()
+	if !complete {
+		m.partlyListed = generation
+		return
 	}
+	m.listedGeneration = generation
+	m.markRosterComplete()
 }
 
 // listWorthwhile reports whether to read the list of members, which has changed.
 // During the initial joins, members that started at the same time are still missing
 // from it. It is read at the first one, for the members that were there before, and
-// at the last one; in between only if that costs no call to the store.
+// at the last one; in between only if that costs no call to the store. A list that was
+// read shortly after an outage is read again when the outage has settled.
 func (m *membership) listWorthwhile() bool {
 	switch {
+	case m.generation == m.partlyListed && m.storeHealth.Settling(time.Now()):
+		return false
 	case m.joinCount >= initialJoins, len(m.roster.Relays()) > 0:
 		return true
 	case m.joinCount == 1:
--- a/node/membership_test.go
+++ b/node/membership_test.go
@@ -22,6 +22,8 @@
 	mu      sync.Mutex
 	joins   int
 	lists   []int // number of joins before each list
+	members []fleet.Member
+	changes int // further changes of the generation
 	failure error
 }
 
@@ -32,7 +34,7 @@
 		return 0, g.failure
 	}
 	g.joins++
-	return uint64(min(g.joins, 3)), ctx.Err()
+	return uint64(g.changes + min(g.joins, 3)), ctx.Err()
 }
 
 func (g *fakeGroup) Leave(context.Context, fleet.Member) error { return nil }
@@ -41,7 +43,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lists = append(g.lists, g.joins)
-	return []fleet.Member{{Name: "a"}, {Name: "b"}}, nil
+	return g.members, nil
 }
 
 // runMembership runs a membership in virtual time while body runs.
@@ -49,7 +51,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		RegisterTestingT(t)
-		group, self := &fakeGroup{}, fleet.Member{Name: "a"}
+		group, self := &fakeGroup{members: []fleet.Member{{Name: "a"}, {Name: "b"}}}, fleet.Member{Name: "a"}
 		buffers := relay.NewBuffers()
 		m := &membership{
 			self: self, group: group, roster: fleet.NewRoster(self), storeHealth: feed.NewHealth(), buffers: buffers,
@@ -142,3 +144,29 @@
 		Expect(time.Since(began)).To(Equal(probeTimeout))
 	})
 }
+
+// Guards against a directory that lists an instance which ended during an outage of the
+// store, 6 s after its end and 3 s after that of the outage: the list was completed up
+// to 1.5 s after the outage had settled.
+func TestMembershipCompletesTheListSoonAfterAnOutage(t *testing.T) {
+	for phase := range 30 {
+		runMembership(t, false, func(m *membership, g *fakeGroup) {
+			time.Sleep(5*time.Second + time.Duration(phase)*50*time.Millisecond)
+			g.mu.Lock()
+			g.failure = io.ErrUnexpectedEOF
+			g.mu.Unlock()
+			time.Sleep(3 * time.Second)
+			Expect(m.storeHealth.Down()).To(BeTrue())
+			g.mu.Lock()
+			g.failure, g.members = nil, []fleet.Member{{Name: "a"}}
+			g.changes++
+			lists := len(g.lists)
+			g.mu.Unlock()
+			time.Sleep(2950 * time.Millisecond)
+			Expect(m.roster.View().Members).To(HaveLen(1), "phase %d", phase)
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			Expect(len(g.lists)-lists).To(BeNumerically("<=", 4), "phase %d", phase)
+		})
+	}
+}
