Log what tells the hypotheses of the incident apart

On-call engineers could not see whether a lost attempt was counted as a crash of its target, which earlier crashes a refusal as crashes-targets rests on, and how long an outage had been over when a removed entry was taken for one of its effects.

attempt_lost names the fingerprint and the number of targets counted for it, request_refused the fingerprint, target_missing and target_removed the age of the outage's end.

--- a/contract/fingerprints.go
+++ b/contract/fingerprints.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,9 @@
 // same effect on a target. It is used to detect requests that crash targets.
 type Fingerprint [sha256.Size]byte
 
+// String returns the first bytes of the digest in hexadecimal, for logs.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:8]) }
+
 // NewFingerprint returns the digest of the given parts of a request. Each part
 // is prefixed with its length, so that different lists of parts never hash the
 // same input. The body is truncated to FingerprintBodyBytes.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -129,8 +129,13 @@
 	size           int64         // of the body, in bytes; -1 if unknown
 	failedResponse *Response     // last error response of a target
 	records        []AttemptRecord
+	fingerprint    string // of the request, if it was refused because it crashes targets
 }
 
+// CrashFingerprint returns the fingerprint for which the request was refused because
+// it crashes targets, or "" if it was not.
+func (x *Exchange) CrashFingerprint() string { return x.fingerprint }
+
 // AttemptRecords describes the attempts made so far.
 func (x *Exchange) AttemptRecords() []AttemptRecord { return x.records }
 
@@ -163,6 +168,7 @@
 			now, fingerprint := time.Now(), FingerprintOf(x, request, body)
 			if x.Crashes.Refused(now, fingerprint) {
 				cancel()
+				x.fingerprint = fingerprint.String()
 				return nil, x.refuseCrashing()
 			}
 			x.excludeCrashed(x.Crashes.Targets(now, fingerprint))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,7 +152,7 @@
 	request.Header.Set("Host", r.Host)
 	request.Header.Del("Content-Length")
 	response, refusal := x.Run(ctx, request)
-	entry.service, entry.attempts = svc, x.AttemptRecords()
+	entry.service, entry.attempts, entry.crashes = svc, x.AttemptRecords(), x.CrashFingerprint()
 	if refusal != nil {
 		g.Metrics.CountRequest(svc.Name, refusal.Outcome)
 		return entry.refuse(statusFor(refusal), string(refusal.Reason), retryAfter(refusal))
@@ -218,6 +218,7 @@
 	urgent   bool
 	service  *service.Service // nil until the service is known
 	attempts []exchange.AttemptRecord
+	crashes  string // fingerprint of a request refused because it crashes targets; "" for others
 }
 
 // refuse logs and counts a request that gets no response from a target, and
@@ -255,6 +256,9 @@
 	if l.service != nil {
 		event = event.Str("service", l.service.Name).Int("targets", len(l.service.View().Candidates)).Int("waiting", l.service.Queue.Len())
 	}
+	if l.crashes != "" {
+		event = event.Str("fingerprint", l.crashes)
+	}
 	return event.Str("event", name).Str("request", l.caller.RequestID).Str("route", l.routeName()).
 		Uint64("config_version", l.version).Array("attempts", attempts).
 		Int("status", status).Dur("left", l.caller.TimeLeft).Dur("took", time.Since(l.request.ReadAt))
--- a/node/applier.go
+++ b/node/applier.go
@@ -269,10 +269,15 @@
 
 func (a *applier) removeTarget(now time.Time, id string, outageEnd time.Time, reason string) {
 	change := a.registry.Remove(now, id, outageEnd)
-	if change != registry.ChangeNone {
-		a.logger.Info().Str("event", "target_"+change.String()).Str("target", id).Str("reason", reason).
-			Bool("after_outage", !outageEnd.IsZero()).Msg("target changed")
+	if change == registry.ChangeNone {
+		return
+	}
+	line := a.logger.Info().Str("event", "target_"+change.String()).Str("target", id).Str("reason", reason).
+		Bool("after_outage", !outageEnd.IsZero())
+	if !outageEnd.IsZero() {
+		line = line.Dur("outage_ended", time.Since(outageEnd))
 	}
+	line.Msg("target changed")
 }
 
 // closeConnsToRemovedTargets closes the idle connections to removed targets.
--- a/targetconn/sender.go
+++ b/targetconn/sender.go
@@ -244,6 +244,7 @@
 	if !sent {
 		return contract.FailureNotSent
 	}
+	event := a.sender.Logger.Info()
 	var broken *BrokenError
 	switch {
 	case attemptEnded:
@@ -255,12 +256,14 @@
 		t.RecordResult(true)
 		t.RecordFailure(now)
 		t.MarkServerCold(now, coldAfterFailure)
-		a.x.Crashes.Crashed(now, t.Spec.Name, exchange.FingerprintOf(a.x, request, body))
+		fingerprint := exchange.FingerprintOf(a.x, request, body)
+		a.x.Crashes.Crashed(now, t.Spec.Name, fingerprint)
+		event = event.Str("fingerprint", fingerprint.String()).Int("crashed", len(a.x.Crashes.Targets(now, fingerprint)))
 	default:
 		t.RecordResult(true)
 		a.x.Observer.Discarded(a.x.Service.Name)
 	}
-	a.sender.Logger.Info().Str("event", "attempt_lost").Str("request", request.ID).Str("target", t.Spec.Name).
+	event.Str("event", "attempt_lost").Str("request", request.ID).Str("target", t.Spec.Name).
 		Dur("took", now.Sub(a.startedAt)).Bool("ended_here", attemptEnded).Err(err).Msg("attempt got no response from target")
 	return contract.FailureLost
 }
