--- a/node/outage_test.go
+++ b/node/outage_test.go
@@ -147,4 +147,3 @@
 		wg.Wait()
 	})
 }
-
