node: test that a request which crashes its targets reaches few of them

The function that reads KNOWN-RED.txt moves to internal/knownred, so that specs of other packages than internal/e2e can be listed.

--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -2,27 +2,21 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
-	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"fulmarhoist.example/internal/knownred"
 	"fulmarhoist.example/internal/standin/soak"
 )
 
-// runKnownRedEnv is the environment variable that, if set, makes the tests listed
-// in KNOWN-RED.txt run.
-const runKnownRedEnv = "FULMARHOIST_RUN_KNOWN_RED"
-
 // skipKnownRed skips a test that KNOWN-RED.txt lists as failing. .ci/run prints
 // that file.
 func skipKnownRed(test string) {
-	listed, err := os.ReadFile(filepath.Join("..", "..", "KNOWN-RED.txt"))
+	skip, err := knownred.Skip(test)
 	Expect(err).NotTo(HaveOccurred())
-	if strings.Contains(string(listed), "- "+test+",") && os.Getenv(runKnownRedEnv) == "" {
+	if skip {
 		Skip("listed in KNOWN-RED.txt")
 	}
 }
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -33,6 +33,7 @@
 	id                  string
 	server              *httptest.Server
 	executionsByRequest sync.Map // executions, as *atomic.Int32, by request id
+	executionsByPath    sync.Map // executions, as *atomic.Int32, by path
 	executions          atomic.Int32
 	// onRequest is called while a request is executed; it returns false to abort
 	// the connection without a response.
@@ -84,8 +85,8 @@
 		return
 	}
 	body, _ := io.ReadAll(r.Body)
-	count, _ := b.executionsByRequest.LoadOrStore(id, &atomic.Int32{})
-	count.(*atomic.Int32).Add(1)
+	increment(&b.executionsByRequest, id)
+	increment(&b.executionsByPath, r.URL.Path)
 	b.executions.Add(1)
 	if hook := b.onRequest.Load(); hook != nil && !(*hook)(r) {
 		panic(http.ErrAbortHandler)
@@ -260,8 +261,21 @@
 }
 
 // executionsOf returns how many times the backend executed a request.
-func (b *backend) executionsOf(id string) int {
-	count, found := b.executionsByRequest.Load(id)
+func (b *backend) executionsOf(id string) int { return countOf(&b.executionsByRequest, id) }
+
+// executionsOfPath returns how many requests with the given path the backend
+// executed.
+func (b *backend) executionsOfPath(path string) int { return countOf(&b.executionsByPath, path) }
+
+// increment increments the count of a key in a map of *atomic.Int32.
+func increment(counts *sync.Map, key string) {
+	count, _ := counts.LoadOrStore(key, &atomic.Int32{})
+	count.(*atomic.Int32).Add(1)
+}
+
+// countOf returns the count of a key in a map of *atomic.Int32.
+func countOf(counts *sync.Map, key string) int {
+	count, found := counts.Load(key)
 	if !found {
 		return 0
 	}
