--- a/relay/client.go
+++ b/relay/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fulmarhoist.example/feed"
+	"fulmarhoist.example/frame"
 )
 
 // Client sends requests to the relay of this instance. The exported fields must be
@@ -116,11 +117,11 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	req := request{Topic: topic, From: from, WaitMs: pollWait.Milliseconds(), Deflate: true, WaitStale: c.StoreDown() || c.StoreSettling()}
-	if err := writeFrame(conn, &req); err != nil {
+	if err := frame.Write(conn, &req); err != nil {
 		return nil, err
 	}
 	var resp response
-	if err := readFrame(conn, maxResponseBytes, resp.decode); err != nil {
+	if err := frame.Read(conn, maxResponseBytes, resp.decode); err != nil {
 		return nil, err
 	}
 	if !resp.Current {
--- a/relay/server.go
+++ b/relay/server.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"fulmarhoist.example/frame"
 )
 
 // Server serves the buffers to other instances.
@@ -46,12 +48,12 @@
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
 		var req request
-		if readFrame(conn, maxRequestBytes, req.decode) != nil {
+		if frame.Read(conn, maxRequestBytes, req.decode) != nil {
 			return
 		}
 		resp := s.respond(ctx, &req)
 		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if writeFrame(conn, &resp) != nil {
+		if frame.Write(conn, &resp) != nil {
 			return
 		}
 	}
--- a/relay/wire_internal_test.go
+++ b/relay/wire_internal_test.go
@@ -18,6 +18,7 @@
 
 	"fulmarhoist.example/feed"
 	"fulmarhoist.example/fleet"
+	"fulmarhoist.example/frame"
 )
 
 // Guards against an instance of an earlier version that takes a compressed value for
@@ -52,11 +53,11 @@
 // memory.
 func TestMessagesAreBounded(t *testing.T) {
 	RegisterTestingT(t)
-	var tooLong *FrameSizeError
-	frame := binary.BigEndian.AppendUint32(nil, 1_000_000_000)
-	Expect(errors.As(readFrame(bytes.NewReader(frame), maxResponseBytes, (&response{}).decode), &tooLong)).To(BeTrue())
-	frame = binary.BigEndian.AppendUint32(nil, maxRequestBytes+1)
-	Expect(errors.As(readFrame(bytes.NewReader(frame), maxRequestBytes, (&request{}).decode), &tooLong)).To(BeTrue())
+	var tooLong *frame.SizeError
+	message := binary.BigEndian.AppendUint32(nil, 1_000_000_000)
+	Expect(errors.As(frame.Read(bytes.NewReader(message), maxResponseBytes, (&response{}).decode), &tooLong)).To(BeTrue())
+	message = binary.BigEndian.AppendUint32(nil, maxRequestBytes+1)
+	Expect(errors.As(frame.Read(bytes.NewReader(message), maxRequestBytes, (&request{}).decode), &tooLong)).To(BeTrue())
 	var bomb bytes.Buffer
 	w, err := flate.NewWriter(&bomb, flate.BestSpeed)
 	Expect(err).NotTo(HaveOccurred())
@@ -76,13 +77,13 @@
 func TestDecoderRefusesMessagesThatClaimOrNestTooMuch(t *testing.T) {
 	RegisterTestingT(t)
 	nested := strings.Repeat("\x91", 1_000_000)
-	var problem *MessageError
+	var problem *frame.MessageError
 	for _, message := range []string{
 		"\x81\xa7records\xdd\xff\xff\xff\xff", "\x81\xa7records\x91\x81\xa5Value\xc6\xff\xff\xff\xffabc",
 		"\x81\xa7records\x91\x81\xa3Key\xdb\xff\xff\xff\xffabc", "\xdf\xff\xff\xff\xff\xa1x\x01", "\x81\xa7unknown" + nested, nested,
 	} {
-		Expect(errors.As(decodeMessage([]byte(message), (&response{}).decode), &problem)).To(BeTrue(), "%.40q", message)
-		Expect(errors.As(decodeMessage([]byte(message), (&request{}).decode), &problem)).To(BeTrue(), "%.40q", message)
+		Expect(errors.As(frame.Decode([]byte(message), (&response{}).decode), &problem)).To(BeTrue(), "%.40q", message)
+		Expect(errors.As(frame.Decode([]byte(message), (&request{}).decode), &problem)).To(BeTrue(), "%.40q", message)
 	}
 	for _, message := range []string{"\xdd\xff\xff\xff\xff", "\x91\x81\xa4Name\xdb\xff\xff\xff\xff", "\x91\x81\xa1x" + nested} {
 		_, err := decodeMembers([]byte(message))
@@ -116,7 +117,7 @@
 	data, err := msgpack.Marshal(map[string]any{"topic": "t", "later": "text", "later_number": 7, "from": 3, "nothing": nil})
 	Expect(err).NotTo(HaveOccurred())
 	var req request
-	Expect(decodeMessage(data, req.decode)).To(Succeed())
+	Expect(frame.Decode(data, req.decode)).To(Succeed())
 	Expect(req).To(Equal(request{Topic: "t", From: 3}))
 }
 
@@ -143,12 +144,12 @@
 	f.Add(bytes.Repeat([]byte("\x91"), 10_001))
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		var resp response
-		frame := append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...)
-		if readFrame(bytes.NewReader(frame), maxResponseBytes, resp.decode) == nil {
+		message := append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...)
+		if frame.Read(bytes.NewReader(message), maxResponseBytes, resp.decode) == nil {
 			_, _ = inflateRecords(resp.Records)
 		}
 		_, _ = decodeMembers(data)
 		var req request
-		_ = readFrame(bytes.NewReader(frame), maxRequestBytes, req.decode)
+		_ = frame.Read(bytes.NewReader(message), maxRequestBytes, req.decode)
 	})
 }
