crashshare: count the crashes of a request over all instances

Cause: each instance counted the crashes that it had seen itself and refused a request after two. With n instances 2n targets could go down, and more with each restart, since a process starts with an empty table. The class of the fault: a bound that holds for the deployment was kept by each instance for itself.

Change: an instance reports crashes to the collectors of the request's fingerprint, at most three instances in different zones by rendezvous hashing. A collector that has counted two targets tells all instances; a response clears the count everywhere. Messages go to the second of the ports that are free for instances.

--- a/contract/fingerprints.go
+++ b/contract/fingerprints.go
@@ -89,6 +89,16 @@
 // elsewhere.
 type Fingerprints struct {
 	snapshot atomic.Pointer[map[Fingerprint]crashList]
+	observer CrashObserver // nil if there is none
+}
+
+// CrashObserver is notified of what this instance has seen itself, to tell the other
+// instances. Its methods must not block.
+type CrashObserver interface {
+	// ObserveCrash is called after a crash was recorded by Fingerprints.Crashed.
+	ObserveCrash(report CrashReport)
+	// ObserveResponse is called after a response has cleared crashes.
+	ObserveResponse(fingerprint Fingerprint)
 }
 
 // NewFingerprints returns an empty table.
@@ -98,6 +108,13 @@
 	return f
 }
 
+// NewObservedFingerprints returns an empty table with an observer.
+func NewObservedFingerprints(observer CrashObserver) *Fingerprints {
+	f := NewFingerprints()
+	f.observer = observer
+	return f
+}
+
 // Empty reports whether the table is empty, in which case the caller need not
 // compute the fingerprints of requests.
 func (f *Fingerprints) Empty() bool { return len(*f.snapshot.Load()) == 0 }
@@ -131,6 +148,12 @@
 		}
 		evict(next)
 	})
+	if f.observer == nil {
+		return
+	}
+	for _, fingerprint := range running {
+		f.observer.ObserveCrash(CrashReport{Fingerprint: fingerprint, Target: target})
+	}
 }
 
 // Merge records crashes that were reported by peers. For a target whose crash is
@@ -155,8 +178,16 @@
 // RecordResponse records that a request with this fingerprint got a complete
 // response. Crashes recorded before no longer count against the fingerprint.
 func (f *Fingerprints) RecordResponse(fingerprint Fingerprint) {
+	if f.Clear(fingerprint) && f.observer != nil {
+		f.observer.ObserveResponse(fingerprint)
+	}
+}
+
+// Clear marks all crashes of a fingerprint as cleared, as after a response. It
+// reports whether any crash counted before.
+func (f *Fingerprints) Clear(fingerprint Fingerprint) bool {
 	if crashes, ok := (*f.snapshot.Load())[fingerprint]; !ok || crashes.allCleared() {
-		return
+		return false
 	}
 	f.update(func(next map[Fingerprint]crashList) {
 		crashes, ok := next[fingerprint]
@@ -170,6 +201,7 @@
 		}
 		next[fingerprint] = cleared
 	})
+	return true
 }
 
 // Reports returns all crashes that currently count, to be sent to a peer that
@@ -177,10 +209,27 @@
 func (f *Fingerprints) Reports(now time.Time) []CrashReport {
 	var reports []CrashReport
 	for fingerprint, crashes := range *f.snapshot.Load() {
-		for _, c := range crashes {
-			if !c.cleared && unexpired(now, c.at) {
-				reports = append(reports, CrashReport{fingerprint, c.target, max(0, now.Sub(c.at))})
-			}
+		reports = crashes.appendReports(reports, now, fingerprint)
+	}
+	return reports
+}
+
+// ReportsOf returns the crashes that currently count for the given fingerprints.
+func (f *Fingerprints) ReportsOf(now time.Time, fingerprints ...Fingerprint) []CrashReport {
+	var reports []CrashReport
+	known := *f.snapshot.Load()
+	for _, fingerprint := range fingerprints {
+		reports = known[fingerprint].appendReports(reports, now, fingerprint)
+	}
+	return reports
+}
+
+// RefusedReports returns the crashes of all fingerprints that are refused.
+func (f *Fingerprints) RefusedReports(now time.Time) []CrashReport {
+	var reports []CrashReport
+	for fingerprint, crashes := range *f.snapshot.Load() {
+		if crashes.countActive(now) >= CrashLimit {
+			reports = crashes.appendReports(reports, now, fingerprint)
 		}
 	}
 	return reports
@@ -261,6 +310,16 @@
 	return next
 }
 
+// appendReports appends a report of each crash that counts.
+func (l crashList) appendReports(reports []CrashReport, now time.Time, fingerprint Fingerprint) []CrashReport {
+	for _, c := range l {
+		if !c.cleared && unexpired(now, c.at) {
+			reports = append(reports, CrashReport{fingerprint, c.target, max(0, now.Sub(c.at))})
+		}
+	}
+	return reports
+}
+
 // countActive returns the number of crashes that are neither cleared nor
 // expired.
 func (l crashList) countActive(now time.Time) int {
--- a/contract/fingerprints_test.go
+++ b/contract/fingerprints_test.go
@@ -17,6 +17,18 @@
 	return contract.NewFingerprint("orders", "reorder", "POST", "/"+name, nil)
 }
 
+// recorder records what an observer is notified of.
+type recorder struct {
+	crashes   []contract.CrashReport
+	responses []contract.Fingerprint
+}
+
+func (r *recorder) ObserveCrash(report contract.CrashReport) { r.crashes = append(r.crashes, report) }
+
+func (r *recorder) ObserveResponse(fingerprint contract.Fingerprint) {
+	r.responses = append(r.responses, fingerprint)
+}
+
 var _ = Describe("Fingerprints", func() {
 	now := time.Unix(1_000_000, 0)
 	crashing, bystander, other := fingerprint("poison"), fingerprint("beside"), fingerprint("other")
@@ -107,6 +119,34 @@
 		Expect(f.Refused(now.Add(time.Second), crashing)).To(BeTrue())
 	})
 
+	// Guards against reports that go back and forth between instances: only what this
+	// instance has seen itself is reported to others.
+	It("notifies the observer of its own crashes and responses only", func() {
+		seen := &recorder{}
+		f := contract.NewObservedFingerprints(seen)
+		f.Merge(now, []contract.CrashReport{{Fingerprint: crashing, Target: "t1"}})
+		Expect(f.Clear(crashing)).To(BeTrue())
+		Expect(f.Clear(crashing)).To(BeFalse())
+		f.RecordResponse(crashing)
+		Expect(*seen).To(Equal(recorder{}))
+		f.Crashed(now, "t2", crashing, bystander)
+		f.RecordResponse(bystander)
+		f.RecordResponse(bystander)
+		Expect(seen.crashes).To(Equal([]contract.CrashReport{{Fingerprint: crashing, Target: "t2"}, {Fingerprint: bystander, Target: "t2"}}))
+		Expect(seen.responses).To(Equal([]contract.Fingerprint{bystander}))
+	})
+
+	// Guards against telling a new instance of requests that no one refuses.
+	It("reports the crashes of given and of refused fingerprints", func() {
+		f := contract.NewFingerprints()
+		f.Crashed(now, "t1", crashing, bystander)
+		f.Crashed(now, "t2", crashing)
+		later := now.Add(time.Minute)
+		Expect(f.ReportsOf(later, bystander, other)).To(Equal([]contract.CrashReport{{Fingerprint: bystander, Target: "t1", Age: time.Minute}}))
+		Expect(f.RefusedReports(later)).To(ConsistOf(
+			contract.CrashReport{Fingerprint: crashing, Target: "t1", Age: time.Minute}, contract.CrashReport{Fingerprint: crashing, Target: "t2", Age: time.Minute}))
+	})
+
 	// Guards against unbounded memory use, and against a flood of harmless
 	// fingerprints that displaces a refused one.
 	It("stays within its bound and keeps refused fingerprints", func() {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -9,6 +9,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -186,6 +187,29 @@
 	return relays
 }
 
+// maxCollectors is the number of instances that collect the reports on one key. They
+// are in different zones, so that the loss of a zone leaves others.
+const maxCollectors = 3
+
+// Collectors returns the instances that collect what all others report on a key: of
+// the zones with the highest-ranking members the highest-ranking one each, by
+// rendezvous hashing. Instances that know the same members choose the same ones.
+func (r *Roster) Collectors(key string) []Member {
+	best := map[string]Member{} // by zone
+	for _, m := range r.View().Members {
+		if known, ok := best[m.Zone]; !ok || score(m.Name, key) > score(known.Name, key) {
+			best[m.Zone] = m
+		}
+	}
+	ranked := slices.SortedFunc(maps.Values(best), func(a, b Member) int {
+		return cmp.Or(cmp.Compare(score(b.Name, key), score(a.Name, key)), cmp.Compare(a.Name, b.Name))
+	})
+	return ranked[:min(len(ranked), maxCollectors)]
+}
+
+// Self returns this instance.
+func (r *Roster) Self() Member { return r.self }
+
 // ColdBound limits the requests that all instances together may send to a cold
 // target. In any second these are at most PerSecond*Overshoot + Slack.
 type ColdBound struct {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -31,6 +31,53 @@
 var _ = Describe("Roster", func() {
 	now := time.Now()
 
+	Describe("Collectors", func() {
+		names := func(r *fleet.Roster, key string) (names []string) {
+			for _, m := range r.Collectors(key) {
+				names = append(names, m.Name)
+			}
+			return names
+		}
+
+		// Guards against instances that report on the same key to different collectors,
+		// so that none sees all reports.
+		It("returns the same instances at all that know the same members", func() {
+			first, second := fleet.NewRoster(member(0)), fleet.NewRoster(member(7))
+			first.Replace(now, members(20))
+			second.Replace(now, members(20))
+			chosen := map[string]bool{}
+			for i := range 100 {
+				key := fmt.Sprint("key", i)
+				Expect(names(first, key)).To(Equal(names(second, key)))
+				chosen[names(first, key)[0]] = true
+			}
+			Expect(len(chosen)).To(BeNumerically(">", 10), "the keys are spread over the instances")
+		})
+
+		// Guards against the loss of all collectors of a key with one zone.
+		It("returns instances of different zones, at most three", func() {
+			zones := func(key string, all []fleet.Member) map[string]int {
+				r, count := fleet.NewRoster(all[0]), map[string]int{}
+				r.Replace(now, all)
+				for _, m := range r.Collectors(key) {
+					count[m.Zone]++
+				}
+				return count
+			}
+			var many []fleet.Member
+			for i := range 15 {
+				m := member(i)
+				m.Zone = fmt.Sprintf("az-%d", i%5)
+				many = append(many, m)
+			}
+			for i := range 20 {
+				Expect(zones(fmt.Sprint(i), members(9))).To(HaveLen(3))
+				Expect(zones(fmt.Sprint(i), members(2))).To(HaveLen(2))
+				Expect(zones(fmt.Sprint(i), many)).To(And(HaveLen(3), HaveEach(1)))
+			}
+		})
+	})
+
 	Describe("Addresses", func() {
 		// Guards against sending callers to another zone without need.
 		It("returns the instances in the zone of the caller", func() {
--- a/internal/standin/soak/instance.go
+++ b/internal/standin/soak/instance.go
@@ -92,7 +92,7 @@
 	i.settingsFile, i.logFile = filepath.Join(s.Dir, i.name+".conf"), filepath.Join(s.Dir, i.name+".log")
 	at := func(port int) string { return net.JoinHostPort(i.ip, strconv.Itoa(port)) }
 	i.callerAddress, i.readyAddress, i.directoryAddress = at(basePort), at(basePort+1), at(basePort+2)
-	peers := strconv.Itoa(basePort + 3)
+	peers := strconv.Itoa(basePort+3) + "," + strconv.Itoa(basePort+4)
 	lines := []string{
 		"self.node=" + i.name, "self.ip=" + i.ip, "self.zone=" + zone, "self.region=r", "self.limits.max_fds=4096",
 		"network.listen.front=" + i.callerAddress, "network.listen.ready=" + i.readyAddress, "network.listen.directory=" + i.directoryAddress,
@@ -107,7 +107,7 @@
 	return i, nil
 }
 
-// basePort is the first of the four ports of an instance. It lies below the
+// basePort is the first of the five ports of an instance. It lies below the
 // ephemeral port range: an outgoing connection that holds the port would keep an
 // instance from listening again after a restart.
 const basePort = 20001
--- a/node/catalog_test.go
+++ b/node/catalog_test.go
@@ -15,7 +15,7 @@
 
 // entryPackages are the packages of an entry instance that write log events or
 // metrics.
-var entryPackages = []string{"node", "gateway", "targetconn", "ingress", "prober", "feed", "relay", "registry", "fleet", "platform"}
+var entryPackages = []string{"node", "gateway", "targetconn", "ingress", "prober", "feed", "relay", "registry", "fleet", "platform", "crashshare"}
 
 // entrySource returns the source code of the entry packages, without tests.
 func entrySource() string {
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -102,10 +102,11 @@
 	version       int    // of the newest configuration
 	lastRequestID atomic.Int64
 	logs          io.Writer // log output of instances that are started
+	crashPort     string    // port at which all instances accept reports of crashes
 }
 
 func newCluster() *cluster {
-	c := &cluster{store: keyedstore.New(), logs: GinkgoWriter}
+	c := &cluster{store: keyedstore.New(), logs: GinkgoWriter, crashPort: portOf(freeAddress("127.0.0.1"))}
 	server := httptest.NewServer(c.store.Handler())
 	DeferCleanup(server.Close)
 	DeferCleanup(server.CloseClientConnections)
@@ -166,7 +167,7 @@
 	s := &node.Settings{
 		Instance: fmt.Sprintf("entry-%d", number), Zone: "az-1", HostIP: address, MaxOpenFiles: 1000,
 		CallerAddress: freeAddress(address), ReadyAddress: freeAddress(address), DirectoryAddress: freeAddress(address), StoreAddress: c.address,
-		MinTTL: time.Second, PeerPort: portOf(freeAddress(address)),
+		MinTTL: time.Second, PeerPort: portOf(freeAddress(address)), CrashPort: c.crashPort,
 		Bounds: node.Bounds{
 			Grace: 2 * time.Second, DirectoryTTL: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 64, ColdOvershoot: 1, ColdSlack: 5,
 		},
--- a/node/crashes_test.go
+++ b/node/crashes_test.go
@@ -8,19 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"fulmarhoist.example/internal/knownred"
 )
 
-// skipKnownRed skips a test that KNOWN-RED.txt lists as failing.
-func skipKnownRed(test string) {
-	skip, err := knownred.Skip(test)
-	Expect(err).NotTo(HaveOccurred())
-	if skip {
-		Skip("listed in KNOWN-RED.txt")
-	}
-}
-
 var _ = Describe("A request that crashes each target that runs it", func() {
 	const (
 		// crashPath is the path of the request, and crashLimit the number of targets
@@ -64,7 +53,6 @@
 	// Guards against a request that takes down targets through one instance after the
 	// other, because each instance counts only the crashes that it has seen.
 	It("reaches few targets, although its caller repeats it at all instances", func() {
-		skipKnownRed("crashing request at all instances")
 		for range 2 {
 			for _, i := range instances {
 				Expect(c.send(ctx, i, "GET", crashPath, "").status).To(Equal(http.StatusBadGateway))
@@ -73,4 +61,19 @@
 		}
 		Expect(crashes()).To(BeNumerically("<=", crashLimit))
 	})
+
+	// Guards against further crashes through instances that were restarted, because a
+	// process starts with an empty table of crashes.
+	It("reaches few targets, although the instances are restarted in turn", func() {
+		for n, i := range instances {
+			Expect(c.send(ctx, i, "GET", crashPath, "").status).To(Equal(http.StatusBadGateway))
+			i.stop()
+			Eventually(i.done, "5s").Should(BeClosed())
+			instances[n] = c.start(n + 2)
+			Eventually(instances[n].ready, "8s").Should(Equal(http.StatusOK))
+			time.Sleep(noticePeriod)
+			Expect(c.send(ctx, instances[n], "GET", crashPath, "").status).To(Equal(http.StatusBadGateway))
+		}
+		Expect(crashes()).To(BeNumerically("<=", crashLimit))
+	})
 })
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
+	"fulmarhoist.example/crashshare"
 	"fulmarhoist.example/feed"
 	"fulmarhoist.example/fleet"
 	"fulmarhoist.example/gateway"
@@ -61,6 +62,7 @@
 	membership  *membership
 	server      *ingress.Server
 	shutdown    *gateway.Shutdown
+	sharer      *crashshare.Sharer
 }
 
 // ListenError reports an address on which the node cannot listen.
@@ -141,6 +143,10 @@
 	if listener := listeners[selfMember(n.settings).Relay]; listener != nil {
 		wg.Go(func() { (&relay.Server{Buffers: n.buffers}).Serve(workCtx, listener) })
 	}
+	if listener := listeners[n.crashAddress()]; listener != nil {
+		wg.Go(func() { n.sharer.Serve(workCtx, listener) })
+	}
+	wg.Go(func() { n.sharer.Run(workCtx) })
 	servers := n.serveControl(listeners)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- n.server.Serve(listeners[n.settings.CallerAddress]) }()
@@ -267,6 +273,9 @@
 	if relayAddress := selfMember(n.settings).Relay; relayAddress != "" {
 		addresses = append(addresses, relayAddress)
 	}
+	if address := n.crashAddress(); address != "" {
+		addresses = append(addresses, address)
+	}
 	for _, address := range addresses {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
@@ -284,6 +293,14 @@
 
 func (n *Node) metricsAddress() string { return net.JoinHostPort(n.settings.HostIP, metricsPort) }
 
+// crashAddress returns the address on which to listen for reports of crashes, or "".
+func (n *Node) crashAddress() string {
+	if n.settings.CrashPort == "" {
+		return ""
+	}
+	return net.JoinHostPort(n.settings.HostIP, n.settings.CrashPort)
+}
+
 // serveControl serves the readiness check, the directory and the metrics.
 func (n *Node) serveControl(listeners map[string]net.Listener) []*http.Server {
 	handlers := map[string]http.Handler{
--- a/node/settings.go
+++ b/node/settings.go
@@ -22,7 +22,11 @@
 	ReadyAddress     string
 	DirectoryAddress string
 
-	PeerPort string // port on which to listen for other instances; "" for none
+	// PeerPort is the port on which other instances read records through this one,
+	// and CrashPort the one on which they report crashes; "" for none. All instances
+	// have the same CrashPort.
+	PeerPort  string
+	CrashPort string
 
 	// FirstStart is true if the whole deployment starts for the first time.
 	FirstStart bool
--- a/node/wiring.go
+++ b/node/wiring.go
@@ -12,6 +12,7 @@
 	"go.uber.org/dig"
 
 	"fulmarhoist.example/contract"
+	"fulmarhoist.example/crashshare"
 	"fulmarhoist.example/feed"
 	"fulmarhoist.example/fleet"
 	"fulmarhoist.example/gateway"
@@ -73,7 +74,7 @@
 			return logger, nil
 		},
 		telemetry.NewMetrics,
-		contract.NewFingerprints,
+		newSharer, (*crashshare.Sharer).Fingerprints,
 		feed.NewHealth,
 		func(b *currentBounds) *gateway.Shutdown {
 			return &gateway.Shutdown{Grace: func() time.Duration { return b.Load().Grace }}
@@ -134,6 +135,16 @@
 	})
 }
 
+func newSharer(s *Settings, roster *fleet.Roster, metrics *telemetry.Metrics, logger zerolog.Logger) *crashshare.Sharer {
+	return crashshare.New(crashshare.Options{
+		Roster: roster, Port: s.CrashPort, Logger: logger,
+		CountSent: func(kind string, delivered bool) {
+			metrics.Counter(fmt.Sprintf(`fulmarhoist_crash_messages_total{kind=%q,delivered="%t"}`, kind, delivered)).Inc()
+		},
+		CountDropped: metrics.Counter("fulmarhoist_crash_observations_dropped_total").Inc,
+	})
+}
+
 // proberDeps holds the dependencies of a prober.
 type proberDeps struct {
 	dig.In
@@ -274,6 +285,7 @@
 	Shutdown   *gateway.Shutdown
 	Tables     *tables
 	Registry   *registry.Registry
+	Sharer     *crashshare.Sharer
 }
 
 func newNode(p nodeDeps) *Node {
@@ -281,5 +293,6 @@
 	return &Node{
 		settings: p.Settings, bounds: p.Bounds, platform: p.Platform, logger: p.Logger, metrics: p.Metrics, roster: p.Roster,
 		storeHealth: p.Health, buffers: p.Buffers, applier: p.Applier, membership: p.Membership, server: p.Server, shutdown: p.Shutdown,
+		sharer: p.Sharer,
 	}
 }
