Take no repeated refusal for the response to a later request

Callers would see: "not run, try again" (503) for a request that a target is running, and a second target may then run it.

Cause: a target that writes an earlier refusal once more on a kept connection. A response to another request is recognized by the id that it echoes, but a refusal was accepted without an id, and one with an id matches if the same request is sent to the same target again. On the own interface a refusal without an attempt id was accepted too.

Change: a connection is closed after a refusal that names no request, also after one of a health question; a request that a target has declined gets a new connection if it goes to that target again.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -144,10 +144,12 @@
 }
 
 // endDeclined ends an attempt that the target declined. It discards the body of
-// the response and keeps the link if the whole body could be read.
+// the response and keeps the link if the whole body could be read and the response
+// names the attempt: written again, another one could not be told from the response
+// to the next attempt.
 func (a *linkAttempt) endDeclined(httpResponse *http.Response) contract.Failure {
 	response, err := readResponse(httpResponse)
-	reusable := err == nil && response.Rest == nil
+	reusable := err == nil && response.Rest == nil && httpResponse.Header.Get(headerAttemptID) != ""
 	if reusable {
 		_ = httpResponse.Body.Close()
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -139,6 +139,13 @@
 // AttemptRecords describes the attempts made so far.
 func (x *Exchange) AttemptRecords() []AttemptRecord { return x.records }
 
+// DeclinedBy reports whether a target has declined this request before.
+func (x *Exchange) DeclinedBy(t *target.Target) bool {
+	return slices.ContainsFunc(x.records, func(r AttemptRecord) bool {
+		return r.Target == t.Spec.Name && (r.Failure == contract.FailureDeclined || r.Failure == contract.FailureMisdirected)
+	})
+}
+
 // addRecord appends the record of an attempt that begins now.
 func (x *Exchange) addRecord(now time.Time, t *target.Target) *AttemptRecord {
 	age, known := t.ReportAge(now)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -76,6 +77,33 @@
 		Expect(requests.Load()).To(Equal(int32(1)))
 	}, SpecTimeout(time.Minute))
 
+	// Guards against a caller that is told that its request did not run, because the
+	// target wrote an earlier refusal once more while it ran the request.
+	It("takes no refusal that names no attempt for the response to the next attempt", func() {
+		var runs atomic.Int32
+		const refusal = "HTTP/1.1 503 Service Unavailable\r\nFulmarhoist-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go refuseThenRun(conn, refusal, &runs)
+			}
+		}()
+		f := newFixtureAt(2, listener.Addr().String())
+		for range 20 {
+			before := runs.Load()
+			_, refused := f.exchange(nonIdempotentTerms(200*time.Millisecond)).Run(context.Background(), get("/x"))
+			if refused != nil && refused.Outcome == contract.OutcomeNotRun {
+				Expect(runs.Load()).To(Equal(before))
+			}
+		}
+	})
+
 	// Guards against refusing a request because one target declined it, although
 	// another one has capacity.
 	It("tries another target after one declined the request", func(ctx SpecContext) {
@@ -125,3 +153,19 @@
 		Expect(runs.Load()).To(BeZero())
 	}, SpecTimeout(time.Minute))
 })
+
+// refuseThenRun refuses the first request of a connection, and writes the refusal
+// again while it runs each later one.
+func refuseThenRun(conn net.Conn, refusal string, runs *atomic.Int32) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for number := 0; ; number++ {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		if number > 0 {
+			runs.Add(1)
+		}
+		_, _ = io.WriteString(conn, refusal)
+	}
+}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -23,6 +23,9 @@
 	Load             *target.Report // nil if not reported
 	ColdRemaining    time.Duration  // remaining time of the cold start
 	HasColdRemaining bool           // whether the response states ColdRemaining
+	// Declined is true if the target did not answer the question, as for a request
+	// that it does not run.
+	Declined bool
 }
 
 // Protocol parses health responses.
@@ -210,6 +213,10 @@
 		return
 	}
 	health := p.Protocol.Health(response.HTTP)
+	if health.Declined {
+		// Written again, the response would look like the refusal of the next request.
+		conn.Close()
+	}
 	if health.Target != t.Spec.Name {
 		// Another process now uses the address.
 		t.MarkReplaced(now)
--- a/prober/prober_test.go
+++ b/prober/prober_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -34,7 +35,8 @@
 	running, _ := strconv.Atoi(response.Header.Get("Running"))
 	cold, _ := strconv.Atoi(response.Header.Get("Cold-Ms"))
 	return prober.Health{
-		Target: response.Header.Get("Name"), ColdRemaining: time.Duration(cold) * time.Millisecond, HasColdRemaining: true,
+		Declined: response.Header.Get("Declined") != "",
+		Target:   response.Header.Get("Name"), ColdRemaining: time.Duration(cold) * time.Millisecond, HasColdRemaining: true,
 		Load: &target.Report{Running: running, Slots: 2, Slowdown: slowdown},
 	}
 }
@@ -42,15 +44,22 @@
 // server is a target that responds to probes.
 type server struct {
 	name, slowdown, running, coldMs string
+	declines                        bool
 	probes                          atomic.Int32
+	connections                     sync.Map // by address of the instance's end
 }
 
-func (s *server) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.probes.Add(1)
+	s.connections.Store(r.RemoteAddr, true)
 	w.Header().Set("Name", s.name)
 	w.Header().Set("Slowdown", s.slowdown)
 	w.Header().Set("Running", s.running)
 	w.Header().Set("Cold-Ms", s.coldMs)
+	if s.declines {
+		w.Header().Set("Declined", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 }
 
 // target starts the server and returns it as a warm target with the given name.
@@ -102,6 +111,17 @@
 		Expect(one.probes.Load()).To(BeZero())
 	})
 
+	// Guards against a refusal of a health question that is written again and taken for
+	// the refusal of a request on the same connection.
+	It("uses a connection only once if the target declines health questions on it", func() {
+		one := &server{name: "a", slowdown: "1", declines: true}
+		serve([]*target.Target{one.target("a")}, nil)
+		Eventually(func() int32 { choose(0); return one.probes.Load() }, "3s").Should(BeNumerically(">=", 3))
+		connections := 0
+		one.connections.Range(func(any, any) bool { connections++; return true })
+		Expect(connections).To(BeEquivalentTo(one.probes.Load()))
+	})
+
 	// Guards against more probes than the platform allows.
 	It("probes no more often than the interval allows and still chooses a target", func() {
 		one := &server{name: "a", slowdown: "1"}
--- a/targetconn/sender.go
+++ b/targetconn/sender.go
@@ -26,6 +26,8 @@
 type ResponseInfo struct {
 	// MatchesRequest is true if the response belongs to the request.
 	MatchesRequest bool
+	// Unnamed is true if the response does not name the request that it belongs to.
+	Unnamed bool
 	// Authentic is true if the response carries the target's signature and an
 	// unencoded body.
 	Authentic bool
@@ -58,6 +60,8 @@
 	// carries a request that must not run twice. If the target closes an idle
 	// connection at that moment, it is unknown whether the request has run.
 	nonIdempotentMaxIdle = 700 * time.Millisecond
+	// newConnection is an idle time that no pooled connection has.
+	newConnection = -1
 	// coldAfterFailure is how long a target counts as cold after one of its
 	// connections broke or could not be opened: its process may have restarted.
 	coldAfterFailure = 3 * time.Second
@@ -77,6 +81,11 @@
 	if !x.Contract.Terms.Idempotent {
 		maxIdle = nonIdempotentMaxIdle
 	}
+	if x.DeclinedBy(permit.Target) {
+		// The refusal names the same request. If the target wrote it again on the
+		// connection, it would look like the response to this attempt.
+		maxIdle = newConnection
+	}
 	conn, err := s.Pools.Take(ctx, permit.Target, maxIdle)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -158,6 +167,10 @@
 		Status: response.HTTP.StatusCode, Header: response.HTTP.Header, Body: response.Body, Rest: response.Rest,
 	}
 	failure, err := a.classify(&info, result)
+	if info.Unnamed {
+		// Written again, the response could not be told from one to the next request.
+		a.conn.Close()
+	}
 	if err != nil || response.Rest == nil {
 		response.discard()
 		cancel()
