targetconn: test that a head cut at any byte is no response

Report of another operator: a 200 with an empty or short body, framed as whole, because the server stopped in the middle of the head. It cannot happen here: the parser of net/http needs the empty line at the end of the head. The spec cuts a head at each byte and passes without a change of the code.

--- a/targetconn/targetconn_test.go
+++ b/targetconn/targetconn_test.go
@@ -142,6 +142,23 @@
 		Entry("header above the limit", "HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 100_000), false),
 	)
 
+	// Guards against a success with an empty or short body that looks complete, because
+	// the target closed the connection in the middle of the head.
+	It("reports a head that is cut at any byte", func() {
+		const head = "HTTP/1.1 200 OK\r\nId: 1\r\nSignature: abc\r\nContent-Length: 1500\r\n\r\n"
+		var cut atomic.Int64
+		address := serve(func(conn net.Conn, reader *bufio.Reader) {
+			_, _ = readRequest(reader)
+			_, _ = io.WriteString(conn, head[:cut.Load()])
+		})
+		for bytes := range len(head) {
+			cut.Store(int64(bytes))
+			_, _, err := dial(address).Do(withTimeout(time.Second), newRequest("1"))
+			var broken *targetconn.BrokenError
+			Expect(errors.As(err, &broken)).To(BeTrue(), "cut after %d bytes: %v", bytes, err)
+		}
+	})
+
 	// Guards against rejecting a response without a length, and against
 	// accepting one that a connection reset truncated.
 	It("accepts a response that ends at the connection close, but not at a reset", func() {
