gateway: take no request in a planned stop that may be cut at its end

Callers would see: a request that came late in the grace time was passed on to a target and its connection closed without an answer at the end, also one that must not be repeated.

Cause: an instance that stops accepted requests for the first 0.42 of its grace time, whatever their deadline. One that may take longer than half of the grace time could still be at its target at the end. On the sites in force deadlines are shorter than that, but for one kind of repeatable request.

Change: a request is refused as not run if its deadline is after the end of the stop; one that its caller may send again if four times the average response time of its kind is.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,9 @@
 	// request that waits longer is late in any case, and its caller could
 	// instead retry when there is capacity.
 	queueTimeoutDivisor = 6
+	// longResponseFactor is how many times the average response time nearly all
+	// requests of a kind take at most.
+	longResponseFactor = 4
 	// leavingRetryAfter is the Retry-After time while the instance shuts down:
 	// the caller should connect to another instance.
 	leavingRetryAfter = 10 * time.Millisecond
@@ -113,13 +116,13 @@
 		return entry.refuse(http.StatusNotFound, "no-route", 0)
 	}
 	entry.route, entry.urgent = decision.Route, decision.Urgent
-	if !g.Shutdown.AcceptsRequests(time.Now()) {
-		return entry.refuse(http.StatusServiceUnavailable, "leaving", leavingRetryAfter)
-	}
 	svc := g.Services.Service(decision.Service)
 	if svc == nil {
 		return entry.refuse(http.StatusServiceUnavailable, "no-service", minRetryAfter)
 	}
+	if now := time.Now(); !g.Shutdown.AcceptsRequest(now, endsBy(now, entry, svc)) {
+		return entry.refuse(http.StatusServiceUnavailable, "leaving", leavingRetryAfter)
+	}
 	return g.run(ctx, entry, svc)
 }
 
@@ -184,6 +187,22 @@
 	return entry.request.ReadAt.Add(timeout)
 }
 
+// endsBy returns the time by which a request that begins now will have ended: its
+// deadline or, if its caller may send it again, the time by which nearly all of its
+// kind have ended.
+func endsBy(now time.Time, entry *requestLog, svc *service.Service) time.Time {
+	deadline := deadlineFor(entry)
+	average, known := svc.ResponseTimes.Average(entry.route.Name)
+	if !entry.route.Kind.Repeatable() || !known {
+		return deadline
+	}
+	likely := now.Add(longResponseFactor * average)
+	if likely.Before(deadline) {
+		return likely
+	}
+	return deadline
+}
+
 // statusFor returns the HTTP status of a request that got no response from a
 // target. Status 503 means that the request did not run and never will.
 func statusFor(refusal *contract.Refusal) int {
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -32,10 +32,15 @@
 // Leaving reports whether the shutdown has begun.
 func (s *Shutdown) Leaving() bool { return s.startedAt.Load() != nil }
 
-// AcceptsRequests reports whether a new request is still served.
-func (s *Shutdown) AcceptsRequests(now time.Time) bool {
+// AcceptsRequest reports whether a new request is still served, which will have ended
+// by the given time. A request that may be in flight at the end of the shutdown is
+// refused: it would be cut there, while another instance can serve it now.
+func (s *Shutdown) AcceptsRequest(now, endsBy time.Time) bool {
 	startedAt := s.startedAt.Load()
-	return startedAt == nil || now.Sub(*startedAt) < s.graceFraction(acceptFraction)
+	if startedAt == nil {
+		return true
+	}
+	return now.Sub(*startedAt) < s.graceFraction(acceptFraction) && !endsBy.After(startedAt.Add(s.EndAfter()))
 }
 
 // CloseAfter returns the time from the signal until the listener is closed.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 	"github.com/rs/zerolog/diode"
 )
 
@@ -291,4 +292,34 @@
 		wg.Wait()
 		Expect(interrupted).To(BeEmpty())
 	})
+
+	// Guards against a request that is taken late in the shutdown and cut at its end,
+	// while a target runs it: it may take until its deadline, which is later.
+	DescribeTable("takes no request in its shutdown that it could not finish",
+		func(method, path string) {
+			logs := gbytes.NewBuffer()
+			c.logs = io.MultiWriter(GinkgoWriter, logs)
+			b := newBackend("i-1")
+			i := startReady(b)
+			b.setOnRequest(func(*http.Request) bool { time.Sleep(1300 * time.Millisecond); return true })
+			var wg sync.WaitGroup
+			send := func() { wg.Go(func() { c.send(ctx, i, method, path, "") }) }
+			send()
+			Eventually(b.executions.Load, "1s", "1ms").Should(BeNumerically(">", 0))
+			shutdownStart := time.Now()
+			i.stop()
+			// The target runs few requests at a time, so the next ones come as late as
+			// the instance accepts any.
+			time.Sleep(700 * time.Millisecond)
+			for time.Since(shutdownStart) < i.settings.Bounds.Grace {
+				send()
+				time.Sleep(50 * time.Millisecond)
+			}
+			wg.Wait()
+			Eventually(i.done, "3s").Should(BeClosed())
+			Expect(logs).To(gbytes.Say(`"event":"drained","connections":0`))
+		},
+		Entry("not idempotent", "POST", "/once/1"),
+		Entry("idempotent", "GET", "/get/1"),
+	)
 })
