gateway: count crashes of a request whatever its route

Callers would see: a request that had taken down two targets takes down two more after each change of the configuration that renames, splits or moves its route.

Cause: the fingerprint depended on the names of the route and of its service.

Change: on the entry path it depends on the host, the method, the path and the body.

--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -203,6 +203,9 @@
 // FingerprintOf returns the fingerprint by which a request is recognized among
 // those that made a target crash.
 func FingerprintOf(x *Exchange, request *Request, body *Body) contract.Fingerprint {
+	if x.CrashScope != "" {
+		return contract.NewFingerprint(x.CrashScope, "", request.Method, request.URL.RequestURI(), body.buffered)
+	}
 	return contract.NewFingerprint(x.Service.Name, x.Contract.Terms.Class, request.Method, request.URL.RequestURI(), body.buffered)
 }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -117,8 +117,11 @@
 	Chooser      Chooser // if nil, the policy of the service is used
 	Urgent       bool    // passed to the Chooser
 	Crashes      *contract.Fingerprints
-	Tracer       trace.Tracer
-	Observer     Observer
+	// CrashScope names what the path of a request is unique in; its fingerprint
+	// depends on it. If it is empty, the scope is the class of the service.
+	CrashScope string
+	Tracer     trace.Tracer
+	Observer   Observer
 	// Isolated reports whether no new attempt may start; nil means that it
 	// always may.
 	Isolated func() bool
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -141,12 +142,15 @@
 		QueueRequest: service.QueueRequest{
 			Rank: service.Rank(min(max(route.Priority, 0), 255)), ExpectedResponseTime: minResponseTime(svc, route), QueueTimeout: route.LatencyGoal / queueTimeoutDivisor,
 		},
-		Sender:   g.Sender,
-		Chooser:  g.Chooser,
-		Urgent:   entry.urgent,
-		Crashes:  g.Crashes,
-		Tracer:   g.Tracer,
-		Observer: g.Metrics,
+		Sender:  g.Sender,
+		Chooser: g.Chooser,
+		Urgent:  entry.urgent,
+		Crashes: g.Crashes,
+		// A host's paths stay the same when its routes are renamed, split or moved to
+		// other services.
+		CrashScope: strings.ToLower(r.Host),
+		Tracer:     g.Tracer,
+		Observer:   g.Metrics,
 	}
 	request := &exchange.Request{
 		Method: r.Method, URL: r.URL, Target: r.Target, Header: hop.EndToEndHeaders(r.Header, ""), Body: r.Body, Size: r.Size,
