soak: requests that crash their targets

A kind of fault: copies of one request at random instances, each of which takes down the target that runs it. The check is that of the users: at most three further targets later than 3 s after the third crash, by instances in touch.

--- a/internal/standin/soak/checker.go
+++ b/internal/standin/soak/checker.go
@@ -59,8 +59,9 @@
 	recentColdArrivals map[*target][]time.Time // within the last second, while cold
 	leavingPassedOn    map[link]time.Time      // when the instance first passed on a response that said that the target leaves
 	pauses             map[link]*pauseWindow
-	storeFaultUntil    time.Time // effects of store faults are expected until then
-	lastStallAt        time.Time // when the test machine last stalled the soak itself
+	crashes            map[string]*crashCount // by path
+	storeFaultUntil    time.Time              // effects of store faults are expected until then
+	lastStallAt        time.Time              // when the test machine last stalled the soak itself
 	violations         []string
 	counts             map[string]int // counters of the result
 }
@@ -69,7 +70,7 @@
 	return &checker{
 		requests: map[string]*request{}, drainAckedAt: map[*target]time.Time{}, evacuatedAt: map[string]time.Time{},
 		routeRemovedAt: map[string]time.Time{}, recentColdArrivals: map[*target][]time.Time{}, counts: map[string]int{},
-		leavingPassedOn: map[link]time.Time{}, pauses: map[link]*pauseWindow{},
+		leavingPassedOn: map[link]time.Time{}, pauses: map[link]*pauseWindow{}, crashes: map[string]*crashCount{},
 	}
 }
 
--- a/internal/standin/soak/checker_test.go
+++ b/internal/standin/soak/checker_test.go
@@ -128,6 +128,18 @@
 			}),
 		Entry("an instance that uses too much memory", "MEMORY",
 			func() { c.recordUsage(i, maxMemoryMiB+1, 9) }, func() { c.recordUsage(i, maxMemoryMiB, 9) }),
+		Entry("a request that goes on crashing targets", "BUDGET",
+			func() { c.recordCrash("late", start.Add(10*time.Second)) },
+			func() {
+				for range 5 {
+					send("early", false).sentAt = start
+					c.recordCrash("early", start)
+				}
+				send("late", false)
+				for range maxLateCrashes {
+					c.recordCrash("late", start.Add(10*time.Second))
+				}
+			}),
 		Entry("an answer after the deadline", "LATE",
 			func() {
 				c.recordOutcome(c.requests["a"], &outcome{status: 502, elapsed: 3 * time.Second, deadline: time.Second})
--- a/internal/standin/soak/faults.go
+++ b/internal/standin/soak/faults.go
@@ -58,6 +58,7 @@
 	{"target announces that it leaves", announceLeaving},
 	{"target asks for a pause", pauseTarget},
 	{"target responds without end", respondWithoutEnd},
+	{"request crashes its targets", sendCrashingRequest},
 }
 
 // KindError reports an unknown kind of fault.
--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -56,8 +56,11 @@
 	port   *endpoint.Port
 	mu     sync.Mutex
 	active *target // nil while none runs
-	zone   string
-	path   *networkPath // from the entry instances to the target
+	// crashedByRequest is the last target that a request has crashed, until it is
+	// replaced.
+	crashedByRequest *target
+	zone             string
+	path             *networkPath // from the entry instances to the target
 }
 
 // target simulates one process of a server. A restarted server is a new target
@@ -69,6 +72,7 @@
 	checker           *checker
 	address           string
 	sequence          int          // of its entry in the store
+	host              *targetHost  // set when it starts
 	path              *networkPath // from the entry instances
 	draining          atomic.Bool
 	leaving           atomic.Bool                   // says so in all responses
@@ -145,6 +149,10 @@
 		return
 	}
 	t.checker.recordArrival(&arrival{arrivedAt: arrivedAt, id: id, target: t})
+	if crashes(r) {
+		t.host.crashRunning(t, r)
+		panic(http.ErrAbortHandler)
+	}
 	if until := t.pausedUntil.Load(); until != nil && arrivedAt.Before(*until) {
 		h.Set(headerNotExecuted, "1")
 		h.Set(headerRetryAfter, strconv.FormatFloat(time.Until(*until).Seconds(), 'f', 3, 64))
@@ -282,7 +290,7 @@
 // startTarget makes the target the active one, accepts connections and
 // registers it in the store.
 func (h *targetHost) startTarget(t *target) error {
-	t.address, t.path = h.path.relay.Address(), h.path
+	t.address, t.path, t.host = h.path.relay.Address(), h.path, h
 	h.mu.Lock()
 	h.active = t
 	h.mu.Unlock()
