--- a/crashshare/server.go
+++ b/crashshare/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	"fulmarhoist.example/frame"
@@ -20,24 +19,11 @@
 // accepting fails. It closes the listener when the context is canceled, and returns
 // when all connections are closed.
 func (s *Sharer) Serve(ctx context.Context, listener net.Listener) {
-	var group sync.WaitGroup
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			break
-		}
-		group.Go(func() { s.serve(ctx, conn) })
-	}
-	group.Wait()
+	frame.ServeConns(ctx, listener, s.serve)
 }
 
 // serve handles the messages of one connection.
 func (s *Sharer) serve(ctx context.Context, conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
 		var received message
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -164,10 +165,11 @@
 	// different addresses.
 	pid := os.Getpid()
 	address := fmt.Sprintf("127.%d.%d.%d", 1+pid/250%200, 1+pid%250, number)
+	free := freeAddresses(address, 4, c.crashPort)
 	s := &node.Settings{
 		Instance: fmt.Sprintf("entry-%d", number), Zone: "az-1", HostIP: address, MaxOpenFiles: 1000,
-		CallerAddress: freeAddress(address), ReadyAddress: freeAddress(address), DirectoryAddress: freeAddress(address), StoreAddress: c.address,
-		MinTTL: time.Second, PeerPort: portOf(freeAddress(address)), CrashPort: c.crashPort,
+		CallerAddress: free[0], ReadyAddress: free[1], DirectoryAddress: free[2], StoreAddress: c.address,
+		MinTTL: time.Second, PeerPort: portOf(free[3]), CrashPort: c.crashPort,
 		Bounds: node.Bounds{
 			Grace: 2 * time.Second, DirectoryTTL: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 64, ColdOvershoot: 1, ColdSlack: 5,
 		},
@@ -195,11 +197,20 @@
 }
 
 // freeAddress returns host:port with a port that is free at the moment.
-func freeAddress(host string) string {
-	listener, err := net.Listen("tcp", host+":0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+func freeAddress(host string) string { return freeAddresses(host, 1)[0] }
+
+// freeAddresses returns several addresses with different free ports, none of which is
+// excluded.
+func freeAddresses(host string, count int, excluded ...string) (addresses []string) {
+	for len(addresses) < count {
+		listener, err := net.Listen("tcp", host+":0")
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = listener.Close() }() // only then, so that the ports differ
+		if address := listener.Addr().String(); !slices.Contains(excluded, portOf(address)) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
 }
 
 func portOf(address string) string {
--- a/node/crashes_test.go
+++ b/node/crashes_test.go
@@ -17,10 +17,8 @@
 		// crashPath is the path of the request, and crashLimit the number of targets
 		// that it may reach: two crashes are needed to recognize it, and one more
 		// attempt may have begun meanwhile.
-		crashPath  = "/get/deep/crash"
-		crashLimit = 3
-		// noticed is logged by an instance that has learned of the crashes of others.
-		noticed       = `"event":"crashing_request"`
+		crashPath     = "/get/deep/crash"
+		crashLimit    = 3
 		configInForce = `"event":"config_in_force"`
 		// noticePeriod is the time in which all instances must know of the crashes.
 		noticePeriod = "1s"
@@ -54,6 +52,17 @@
 	logged := func(text string) func() int {
 		return func() int { return bytes.Count(logs.Contents(), []byte(text)) }
 	}
+	// notices returns how often an instance has learned of crashes from others.
+	notices := func(i *instance) func() int {
+		return logged(fmt.Sprintf(`"instance":%q,"event":"crashing_request"`, i.settings.Instance))
+	}
+	// expectAllNotice expects that all instances but the first learn of its crashes.
+	expectAllNotice := func() {
+		GinkgoHelper()
+		for _, i := range instances[1:] {
+			Eventually(notices(i), noticePeriod).Should(BeNumerically(">", 0))
+		}
+	}
 	send := func(i *instance) {
 		GinkgoHelper()
 		Expect(c.send(ctx, i, "GET", crashPath, "").status).To(Equal(http.StatusBadGateway))
@@ -71,7 +80,7 @@
 	// other, because each instance counts only the crashes that it has seen.
 	It("reaches few targets, although its caller repeats it at all instances", func() {
 		send(instances[0])
-		Eventually(logged(noticed), noticePeriod).Should(Equal(len(instances) - 1))
+		expectAllNotice()
 		for _, i := range instances {
 			send(i)
 		}
@@ -82,7 +91,7 @@
 	// the route of the request.
 	It("reaches few targets, although the configuration moves it to another route", func() {
 		send(instances[0])
-		Eventually(logged(noticed), noticePeriod).Should(Equal(len(instances) - 1))
+		expectAllNotice()
 		c.configure("/get/deep/")
 		Eventually(logged(configInForce), "3s").Should(Equal(2 * len(instances)))
 		for _, i := range instances {
@@ -95,14 +104,14 @@
 	// process starts with an empty table of crashes.
 	It("reaches few targets, although the instances are restarted in turn", func() {
 		send(instances[0])
-		Eventually(logged(noticed), noticePeriod).Should(Equal(len(instances) - 1))
+		expectAllNotice()
 		for n, i := range instances {
 			i.stop()
 			Eventually(i.done, "5s").Should(BeClosed())
-			before := logged(noticed)()
+			before := notices(i)()
 			started := c.start(n + 2)
 			Eventually(started.ready, "8s").Should(Equal(http.StatusOK))
-			Eventually(logged(noticed), noticePeriod).Should(BeNumerically(">", before))
+			Eventually(notices(started), noticePeriod).Should(BeNumerically(">", before))
 			send(started)
 		}
 		expectFewCrashes()
--- a/relay/server.go
+++ b/relay/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"time"
 
 	"fulmarhoist.example/frame"
@@ -27,24 +26,11 @@
 // closes the listener when the context is canceled, and returns when all
 // connections are closed.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) {
-	var group sync.WaitGroup
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			break
-		}
-		group.Go(func() { s.serve(ctx, conn) })
-	}
-	group.Wait()
+	frame.ServeConns(ctx, listener, s.serve)
 }
 
 // serve handles the requests of one connection.
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
 		var req request
