--- a/internal/standin/soak/target.go
+++ b/internal/standin/soak/target.go
@@ -170,25 +170,29 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	content := contentDigest(r.Method, r.URL.RequestURI(), body)
+	t.execute(w, r, &arrival{arrivedAt, id, t, contentDigest(r.Method, r.URL.RequestURI(), body)})
+}
+
+// execute waits for a slot until the deadline of the request, and runs it.
+func (t *target) execute(w http.ResponseWriter, r *http.Request, a *arrival) {
 	deadlineMS, _ := strconv.Atoi(r.Header.Get(headerDeadline))
 	deadline := time.NewTimer(time.Duration(deadlineMS) * time.Millisecond)
 	defer deadline.Stop()
 	select {
 	case t.running <- struct{}{}:
 	case <-deadline.C:
-		h.Set(headerNotExecuted, "1")
+		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { <-t.running }()
-	t.checker.recordExecution(&arrival{arrivedAt, id, t, content})
-	sleep(serviceTime(id))
-	h.Set(headerSignature, t.id+"."+id)
+	t.checker.recordExecution(a)
+	sleep(serviceTime(a.id))
+	w.Header().Set(headerSignature, t.id+"."+a.id)
 	out := bufio.NewWriter(w)
-	_, _ = out.WriteString(answerBody(id, content))
+	_, _ = out.WriteString(answerBody(a.id, a.content))
 	_ = out.Flush()
 }
 
