exchange: give up a slow target only for another one

Cause: an attempt ended after 4 times the average response time of its route, and only then it was asked whether another attempt may follow. With the retry budget spent, no target with capacity, no connection to it, or a body that is not kept, none could.

Change: a slow attempt goes on while the exchange looks for another target. It ends when a connection to that target and a retry have been obtained. While the instance drains, no attempt is given up.

--- a/contract/contract.go
+++ b/contract/contract.go
@@ -180,6 +180,12 @@
 	return Refusal{Outcome: OutcomeUnknown, Reason: ReasonAnswerLost}
 }
 
+// MayRetry reports whether a retry may follow if the attempt in progress gets no
+// complete response.
+func (c *Contract) MayRetry() bool {
+	return c.phase.Load() == phaseAttempt && c.Terms.Idempotent && c.localRetries >= c.retryCost()
+}
+
 // FailAttempt records that the attempt in progress ended without a complete
 // response. It returns nil if the request may be retried, and the refusal
 // otherwise. A request that may have been executed is retried only if it is
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -85,6 +85,9 @@
 // Abandon implements Attempt.
 func (a *linkAttempt) Abandon() { a.finish(true, a.began) }
 
+// SlowAfter implements Attempt: the watchdog ends attempts on silent links.
+func (a *linkAttempt) SlowAfter() time.Duration { return 0 }
+
 // Send implements Attempt.
 func (a *linkAttempt) Send(ctx context.Context, request *Request, body *Body) (*Response, contract.Failure, error) {
 	attemptID := newAttemptID()
--- a/exchange/body.go
+++ b/exchange/body.go
@@ -36,6 +36,9 @@
 	return &Body{buffered: kept, rest: source, size: size}, nil
 }
 
+// kept reports whether Reader may be called any number of times.
+func (b *Body) kept() bool { return b.rest == nil }
+
 // replayable reports whether Reader may be called.
 func (b *Body) replayable() bool { return b.rest == nil || !b.restUsed }
 
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"slices"
@@ -95,6 +94,10 @@
 	Send(ctx context.Context, request *Request, body *Body) (*Response, contract.Failure, error)
 	// Abandon returns the connection unused.
 	Abandon()
+	// SlowAfter returns the time without a response after which the request looks
+	// for another target, if it may be sent again; 0 if the Sender ends attempts
+	// whose targets are silent by itself.
+	SlowAfter() time.Duration
 }
 
 // AttemptRecord describes one attempt, for logs: what was known about the target
@@ -125,6 +128,9 @@
 	// Isolated reports whether no new attempt may start; nil means that it
 	// always may.
 	Isolated func() bool
+	// Draining reports whether this instance is shutting down; nil means that it
+	// never is. Attempts in progress are then left to end by themselves.
+	Draining func() bool
 
 	tried          service.Tried // all targets to avoid, including crashedTargets
 	crashedTargets service.Tried // targets that crashed while running this request
@@ -132,7 +138,14 @@
 	size           int64         // of the body, in bytes; -1 if unknown
 	failedResponse *Response     // last error response of a target
 	records        []AttemptRecord
-	fingerprint    string // of the request, if it was refused because it crashes targets
+	fingerprint    string       // of the request, if it was refused because it crashes targets
+	replacement    *reservation // of the target that takes over from a slow one; nil if there is none
+}
+
+// reservation is an attempt for which a connection to the target is reserved.
+type reservation struct {
+	Attempt
+	target *target.Target
 }
 
 // CrashFingerprint returns the fingerprint for which the request was refused because
@@ -174,21 +187,12 @@
 	x.Service.RecordRequest(began)
 	x.Service.RetryBudget.RecordRequest(began)
 	for {
-		if !x.Crashes.Empty() {
-			now, fingerprint := time.Now(), FingerprintOf(x, request, body)
-			if x.Crashes.Refused(now, fingerprint) {
-				cancel()
-				x.fingerprint = fingerprint.String()
-				return nil, x.refuseCrashing()
-			}
-			x.excludeCrashed(x.Crashes.Targets(now, fingerprint))
-		}
-		permit, refusal := x.admit(ctx)
+		reserved, refusal := x.reserve(ctx, request, body)
 		if refusal != nil {
 			cancel()
 			return nil, refusal
 		}
-		response, refusal, again := x.attempt(ctx, permit, request, body)
+		response, refusal, again := x.attempt(ctx, reserved, request, body)
 		if again {
 			continue
 		}
@@ -238,182 +242,10 @@
 	return c.ReadCloser.Close()
 }
 
-// admit acquires a permit. It refuses a request if this instance became isolated
-// while the request was waiting.
-func (x *Exchange) admit(ctx context.Context) (target.Permit, *contract.Refusal) {
-	if ctx.Err() != nil {
-		return target.Permit{}, x.Contract.Refuse(x.contextReason(ctx))
-	}
-	permit, refusal := x.acquirePermit(ctx)
-	if refusal == nil && x.Isolated != nil && x.Isolated() {
-		x.ReleasePermit(permit)
-		return target.Permit{}, x.Contract.Refuse(contract.ReasonInstanceIsolated)
-	}
-	return permit, refusal
-}
-
-// acquirePermit acquires a permit, waiting in the queue if no target has
-// capacity.
-func (x *Exchange) acquirePermit(ctx context.Context) (target.Permit, *contract.Refusal) {
-	wakeEpoch := x.Service.Queue.WakeEpoch()
-	if x.Service.Queue.Len() == 0 {
-		if permit, ok := x.choose(ctx); ok {
-			return permit, nil
-		}
-	}
-	return x.waitInQueue(ctx, wakeEpoch)
-}
-
-// choose prefers targets that the request has not been tried on. It never
-// chooses one that crashed while running the request.
-func (x *Exchange) choose(ctx context.Context) (target.Permit, bool) {
-	if permit, ok := x.chooseExcluding(ctx, x.tried); ok {
-		return permit, true
-	}
-	if len(x.tried) == len(x.crashedTargets) {
-		return target.Permit{}, false
-	}
-	return x.chooseExcluding(ctx, x.crashedTargets)
-}
-
-func (x *Exchange) chooseExcluding(ctx context.Context, tried service.Tried) (target.Permit, bool) {
-	if x.Chooser != nil {
-		return x.Chooser.Choose(ctx, x.Service, Criteria{Tried: tried, Size: x.size, Urgent: x.Urgent})
-	}
-	return x.Service.Choose(time.Now(), tried, rand.Uint64())
-}
-
-// excludeCrashed excludes the targets with the given names. Once restarted, such
-// a target would crash again, and would still count as only one target.
-func (x *Exchange) excludeCrashed(names []string) {
-	for _, c := range x.Service.View().Candidates {
-		if slices.Contains(names, c.Target.Spec.Name) && !x.crashedTargets.Contains(c.Target) {
-			x.crashedTargets = append(x.crashedTargets, c.Target)
-			x.markTried(c.Target)
-		}
-	}
-}
-
-// waitInQueue waits in the queue of the service until a target has capacity.
-func (x *Exchange) waitInQueue(ctx context.Context, wakeEpoch uint64) (target.Permit, *contract.Refusal) {
-	_, span := x.Tracer.Start(ctx, "queue")
-	defer span.End()
-	now := time.Now()
-	queue := x.Service.Queue
-	queued := x.QueueRequest
-	queued.Deadline, queued.WakeEpoch = x.Contract.Terms.Deadline, wakeEpoch
-	giveUpAt := queued.Deadline
-	if queued.QueueTimeout > 0 {
-		giveUpAt = earlier(giveUpAt, now.Add(queued.QueueTimeout))
-	}
-	if refusal := x.refusePaused(now, giveUpAt); refusal != nil {
-		return target.Permit{}, refusal
-	}
-	waiter, err := queue.JoinAt(now, queued)
-	if err != nil {
-		return target.Permit{}, x.Contract.Refuse(queueReason(err))
-	}
-	// The end of a target's back-off releases no permit, so it does not wake a
-	// waiter.
-	recheck := time.NewTicker(recheckInterval)
-	defer recheck.Stop()
-	timeout := newQueueTimer(queued.QueueTimeout)
-	defer timeout.Stop()
-	for {
-		select {
-		case <-waiter.Ready():
-			if waiter.Displaced() {
-				return target.Permit{}, x.Contract.Refuse(contract.ReasonQueueFull)
-			}
-			if permit, ok := x.choose(ctx); ok {
-				queue.Served(waiter)
-				return permit, nil
-			}
-			queue.Rejoin(waiter)
-		case <-recheck.C:
-			if permit, ok := x.choose(ctx); ok {
-				queue.Leave(waiter)
-				return permit, nil
-			}
-			if refusal := x.refusePaused(time.Now(), giveUpAt); refusal != nil {
-				queue.Leave(waiter)
-				return target.Permit{}, refusal
-			}
-		case <-timeout.C:
-			queue.Leave(waiter)
-			return target.Permit{}, x.Contract.Refuse(contract.ReasonNoTarget)
-		case <-ctx.Done():
-			queue.Leave(waiter)
-			return target.Permit{}, x.Contract.Refuse(x.contextReason(ctx))
-		}
-	}
-}
-
-// refusePaused refuses a request if all targets have asked for a pause that ends
-// after the time at which the request would stop waiting. It returns nil if the
-// request may wait.
-func (x *Exchange) refusePaused(now, giveUpAt time.Time) *contract.Refusal {
-	pausedUntil, paused := x.Service.View().PausedUntil(now)
-	if !paused || pausedUntil.Before(giveUpAt) {
-		return nil
-	}
-	refusal := x.Contract.Refuse(contract.ReasonTargetsPaused)
-	refusal.RetryAfter = pausedUntil.Sub(now)
-	return refusal
-}
-
-// earlier returns the earlier of two times.
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-// newQueueTimer returns a timer that ends the wait in the queue. If the timeout
-// is 0, it never fires.
-func newQueueTimer(timeout time.Duration) *time.Timer {
-	if timeout > 0 {
-		return time.NewTimer(timeout)
-	}
-	timer := time.NewTimer(time.Hour)
-	timer.Stop()
-	return timer
-}
-
-// recheckInterval is the interval at which a waiting request tries to choose a
-// target without having been woken.
-const recheckInterval = 25 * time.Millisecond
-
-func queueReason(err error) contract.Reason {
-	var deadlineErr *service.DeadlineError
-	if errors.As(err, &deadlineErr) {
-		return contract.ReasonDeadline
-	}
-	return contract.ReasonQueueFull
-}
-
-// contextReason returns why the context ended. A context that is canceled at the
-// deadline counts as expired, because the server's read deadline for the request
-// passes at the same moment and cancels it.
-func (x *Exchange) contextReason(ctx context.Context) contract.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(x.Contract.Terms.Deadline) {
-		return contract.ReasonDeadline
-	}
-	return contract.ReasonCallerCanceled
-}
-
 // attempt sends the request once. The result again reports whether another
 // attempt may follow.
-func (x *Exchange) attempt(ctx context.Context, permit target.Permit, request *Request, body *Body) (response *Response, refusal *contract.Refusal, again bool) {
-	chosen := permit.Target
-	reserved := x.Sender.Reserve(ctx, x, permit)
-	if reserved == nil {
-		x.ReleasePermit(permit)
-		x.markTried(chosen)
-		sleep(ctx, linkOpenTime)
-		return nil, nil, true
-	}
+func (x *Exchange) attempt(ctx context.Context, reserved *reservation, request *Request, body *Body) (response *Response, refusal *contract.Refusal, again bool) {
+	chosen := reserved.target
 	began := time.Now()
 	if err := x.Contract.BeginAttempt(began); err != nil {
 		reserved.Abandon()
@@ -425,7 +257,7 @@
 		span.SetAttributes(attribute.String("target", chosen.Spec.Name), attribute.Int("attempt", x.Contract.Attempts()))
 	}
 	record := x.addRecord(began, chosen)
-	response, failure, err := reserved.Send(ctx, request, body)
+	response, failure, err := x.send(ctx, reserved, request, body)
 	record.Failure, record.Took = failure, time.Since(began)
 	if err == nil {
 		x.Contract.Complete()
@@ -443,6 +275,9 @@
 	}
 	now := time.Now()
 	refusal = x.Contract.FailAttempt(now, failure)
+	if x.replacement != nil {
+		return nil, refusal, refusal == nil
+	}
 	if refusal == nil && failure != contract.FailureNotSent && !x.Service.RetryBudget.Allow(now) {
 		refusal = x.Contract.Refuse(contract.ReasonRetriesSpent)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -151,6 +151,7 @@
 		CrashScope: strings.ToLower(r.Host),
 		Tracer:     g.Tracer,
 		Observer:   g.Metrics,
+		Draining:   g.Shutdown.Leaving,
 	}
 	request := &exchange.Request{
 		Method: r.Method, URL: r.URL, Target: r.Target, Header: hop.EndToEndHeaders(r.Header, ""), Body: r.Body, Size: r.Size,
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -104,10 +104,11 @@
 	lastRequestID atomic.Int64
 	logs          io.Writer // log output of instances that are started
 	crashPort     string    // port at which all instances accept reports of crashes
+	retryExtra    float64   // retries of all instances together that need no requests
 }
 
 func newCluster() *cluster {
-	c := &cluster{store: keyedstore.New(), logs: GinkgoWriter, crashPort: portOf(freeAddress("127.0.0.1"))}
+	c := &cluster{store: keyedstore.New(), logs: GinkgoWriter, crashPort: portOf(freeAddress("127.0.0.1")), retryExtra: 64}
 	server := httptest.NewServer(c.store.Handler())
 	DeferCleanup(server.Close)
 	DeferCleanup(server.CloseClientConnections)
@@ -171,7 +172,7 @@
 		CallerAddress: free[0], ReadyAddress: free[1], DirectoryAddress: free[2], StoreAddress: c.address,
 		MinTTL: time.Second, PeerPort: portOf(free[3]), CrashPort: c.crashPort,
 		Bounds: node.Bounds{
-			Grace: 2 * time.Second, DirectoryTTL: 5 * time.Second, RetryRatio: 0.2, RetryExtra: 64, ColdOvershoot: 1, ColdSlack: 5,
+			Grace: 2 * time.Second, DirectoryTTL: 5 * time.Second, RetryRatio: 0.2, RetryExtra: c.retryExtra, ColdOvershoot: 1, ColdSlack: 5,
 		},
 	}
 	p := platform.New(s)
--- a/service/budget.go
+++ b/service/budget.go
@@ -83,7 +83,7 @@
 	for {
 		old := b.retries.Load()
 		next := old.advancedTo(max(second, old.second))
-		if (next.total()+1)*100 > b.minRetries.Load()*100+percent*b.requestsInWindow(next.second) {
+		if !b.allows(&next, percent) {
 			return false
 		}
 		granted := next // copied so that next does not escape: a refusal allocates nothing
@@ -94,6 +94,23 @@
 	}
 }
 
+// Available reports whether Allow would find a retry in the budget.
+func (b *RetryBudget) Available(now time.Time) bool {
+	percent := b.percent.Load()
+	if percent == 0 {
+		return false
+	}
+	second := b.advance(now)
+	current := b.retries.Load()
+	next := current.advancedTo(max(second, current.second))
+	return b.allows(&next, percent)
+}
+
+// allows reports whether one retry more than the granted ones is within the limit.
+func (b *RetryBudget) allows(granted *retryCounts, percent uint64) bool {
+	return (granted.total()+1)*100 <= b.minRetries.Load()*100+percent*b.requestsInWindow(granted.second)
+}
+
 // advance updates the latest second seen with now and returns it. Seconds since
 // the base of monotime fit into 32 bits.
 func (b *RetryBudget) advance(now time.Time) int64 {
--- a/service/budget_test.go
+++ b/service/budget_test.go
@@ -46,6 +46,9 @@
 				}
 				for range newRetries {
 					want := percent > 0 && (sum(retries)+1)*100 <= 300+percent*sum(requests)
+					if got := b.Available(now); got != want {
+						t.Fatalf("Available() = %v, want %v after %d retries of %d requests", got, want, sum(retries), sum(requests))
+					}
 					if got := b.Allow(now); got != want {
 						t.Fatalf("Allow() = %v, want %v after %d retries of %d requests", got, want, sum(retries), sum(requests))
 					}
--- a/targetconn/conn.go
+++ b/targetconn/conn.go
@@ -225,7 +225,7 @@
 	if got.err != nil {
 		c.Close()
 		if ctx.Err() != nil {
-			return nil, true, fmt.Errorf("wait for the response: %w", errors.Join(ctx.Err(), got.err))
+			return nil, true, fmt.Errorf("wait for the response: %w", errors.Join(context.Cause(ctx), got.err))
 		}
 		return nil, true, got.err
 	}
--- a/targetconn/sender.go
+++ b/targetconn/sender.go
@@ -65,11 +65,10 @@
 	// coldAfterFailure is how long a target counts as cold after one of its
 	// connections broke or could not be opened: its process may have restarted.
 	coldAfterFailure = 3 * time.Second
-	// minAttemptTimeout and attemptTimeoutFactor set the timeout of an attempt
-	// whose request may be sent again. The factor applies to the average
-	// response time of the class.
-	minAttemptTimeout    = 250 * time.Millisecond
-	attemptTimeoutFactor = 4
+	// minSlowTime and slowFactor set the time after which an attempt counts as
+	// slow. The factor applies to the average response time of the class.
+	minSlowTime = 250 * time.Millisecond
+	slowFactor  = 4
 	// responseMargin is subtracted from the caller's deadline, for the response
 	// to travel back.
 	responseMargin = 5 * time.Millisecond
@@ -152,7 +151,7 @@
 		a.Abandon()
 		return nil, contract.FailureNotSent, &StalePermitError{a.permit.Target.Spec.Name}
 	}
-	ctx, cancel := context.WithTimeout(ctx, a.timeout())
+	ctx, cancel := context.WithTimeout(ctx, a.remaining())
 	response, sent, err := a.conn.Do(ctx, a.newRequest(request, body))
 	attemptEnded := err != nil && ctx.Err() != nil
 	if err != nil {
@@ -261,10 +260,10 @@
 	var broken *BrokenError
 	switch {
 	case attemptEnded:
-		// The caller disconnected or the attempt timed out. That counts as a
-		// failure of the target only if the attempt lasted at least
-		// minAttemptTimeout.
-		t.RecordResult(now.Sub(a.startedAt) >= minAttemptTimeout)
+		// The caller disconnected, its deadline has passed, or another target
+		// replaces this one. That counts as a failure of the target only if the
+		// attempt lasted at least minSlowTime.
+		t.RecordResult(now.Sub(a.startedAt) >= minSlowTime)
 	case errors.As(err, &broken) && broken.NoResponse:
 		t.RecordResult(true)
 		t.RecordFailure(now)
@@ -281,25 +280,26 @@
 	return contract.FailureLost
 }
 
-// timeout returns how long the attempt may take: what is left of the caller's
-// deadline, or less if the request may be sent again.
-func (a *attempt) timeout() time.Duration {
-	remaining := time.Until(a.x.Contract.Terms.Deadline) - responseMargin
-	if !a.x.Contract.Terms.Idempotent || a.x.Contract.Attempts() > a.x.Contract.Terms.Retries {
-		return remaining
-	}
+// remaining returns how long the attempt may take: what is left of the caller's
+// deadline.
+func (a *attempt) remaining() time.Duration {
+	return time.Until(a.x.Contract.Terms.Deadline) - responseMargin
+}
+
+// SlowAfter implements exchange.Attempt.
+func (a *attempt) SlowAfter() time.Duration {
 	average, known := a.x.Service.ResponseTimes.Average(a.x.Contract.Terms.Class)
 	if !known {
-		return remaining / 2
+		return a.remaining() / 2
 	}
-	return min(remaining, max(minAttemptTimeout, attemptTimeoutFactor*average))
+	return max(minSlowTime, slowFactor*average)
 }
 
 func (a *attempt) newRequest(request *exchange.Request, body *exchange.Body) *Request {
 	header := request.Header.Clone()
 	a.sender.Protocol.SetAttemptHeaders(header, Attempt{
 		Request: request, Target: a.permit.Target.Spec.Name,
-		Remaining: time.Until(a.x.Contract.Terms.Deadline) - responseMargin,
+		Remaining: a.remaining(),
 	})
 	out := &Request{
 		Method: request.Method, Target: request.Target, Host: header.Get("Host"), Header: header, Size: body.Size(),
