node: only a seen outage of the store keeps removed targets in use

Cause: if one read removed over 0.34 of all known targets, the applier took it for an outage of the store and kept them for 1.9 s, although no call to the store had failed.

Change: isMassRemoval is gone. The store loses no entry that it has accepted; entries expire after three heartbeats, while an instance calls the store at least every 1.5 s and so sees an outage itself. TestApplierCountsLostTargetsOfAListingWithNewOnes asked for the fault, without an outage; TestApplierKeepsTargetsThatAListingLacksAfterAnOutage asks for the same numbers after one.

Evidence: TestApplierRemovesManyTargetsAtOnceWhileTheStoreIsWell failed in 5 of 5 cases before.

--- a/node/applier.go
+++ b/node/applier.go
@@ -36,19 +36,9 @@
 	Targets  string
 }
 
-const (
-	// refreshInterval is the maximum time between two calls of Registry.Refresh,
-	// which updates cold targets and removes those whose entries are missing for
-	// too long.
-	refreshInterval = 200 * time.Millisecond
-	// massRemovalShare is the share of all targets above which entries that
-	// disappear together are attributed to data loss in the store instead of to
-	// normal operation.
-	massRemovalShare = 0.34
-	// massRemovalMinTargets is the number of known targets below which no removal
-	// is treated as a mass removal: the share says little about so few targets.
-	massRemovalMinTargets = 4
-)
+// refreshInterval is the maximum time between two calls of Registry.Refresh, which
+// updates cold targets and removes those whose entries are missing for too long.
+const refreshInterval = 200 * time.Millisecond
 
 // applier applies the records of the store to the registry and the routing
 // table. It is their only writer.
@@ -196,12 +186,12 @@
 	return true
 }
 
+// applyTargets applies entries of targets and their removals. Only after an outage of
+// the store may a removed entry come back: the store loses no entry by itself, so that
+// without an outage the targets have left, however many they are.
 func (a *applier) applyTargets(event feed.Event) {
 	now := time.Now()
-	outageEnd, afterOutage := a.storeHealth.OutageEnd(now)
-	if !afterOutage && a.isMassRemoval(event) {
-		outageEnd = now
-	}
+	outageEnd, _ := a.storeHealth.OutageEnd(now)
 	listed := make(map[string]bool, len(event.Records))
 	for _, record := range event.Records {
 		listed[record.Key] = true
@@ -219,32 +209,6 @@
 	a.closeConnsToRemovedTargets()
 }
 
-// isMassRemoval reports whether an event removes more targets than are ever
-// removed together in normal operation.
-func (a *applier) isMassRemoval(event feed.Event) bool {
-	known := len(a.registry.IDs())
-	if known < massRemovalMinTargets {
-		return false
-	}
-	present := make(map[string]bool, len(event.Records))
-	removed := 0
-	for _, record := range event.Records {
-		present[record.Key] = !record.Deleted
-		if record.Deleted {
-			removed++
-		}
-	}
-	if event.Listing {
-		removed = 0
-		for _, id := range a.registry.IDs() {
-			if !present[id] {
-				removed++
-			}
-		}
-	}
-	return float64(removed) > massRemovalShare*float64(known)
-}
-
 // applyTarget applies a record. If its removal may be an effect of an outage of the
 // store, outageEnd is the end of that outage.
 func (a *applier) applyTarget(now time.Time, record *feed.Record, outageEnd time.Time) {
