targetconn: end a response in the middle of its body at the deadline

Callers saw: a faulty target that sent a body without end was passed on for as long as the caller read it; the connection, a place at the target and one at the instance were taken for ever. Memory stayed within its bounds.

Cause: Do stopped watching the context once it had returned the first part of a long response.

Change: the connection is closed at the end of the context also while the rest is read. A caller that has not read a long response by its deadline, or by the timeout of the route, gets it cut, and never as a complete one.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -258,6 +258,20 @@
 
 // send sends a request on a new connection.
 func (c *cluster) send(ctx context.Context, i *instance, method, path, body string) reply {
+	return c.sendAndRead(ctx, i, method, path, body, io.ReadAll)
+}
+
+// sendAndDiscard is like send, but keeps nothing of the response body.
+func (c *cluster) sendAndDiscard(ctx context.Context, i *instance, method, path, body string) reply {
+	return c.sendAndRead(ctx, i, method, path, body, func(r io.Reader) ([]byte, error) {
+		_, err := io.Copy(io.Discard, r)
+		return nil, err
+	})
+}
+
+// sendAndRead sends a request on a new connection and reads the body of the response
+// with the function.
+func (c *cluster) sendAndRead(ctx context.Context, i *instance, method, path, body string, read func(io.Reader) ([]byte, error)) reply {
 	id := fmt.Sprintf("%016x", c.lastRequestID.Add(1))
 	request, _ := http.NewRequestWithContext(ctx, method, "http://"+i.settings.CallerAddress+path, strings.NewReader(body))
 	request.Host = "a.example"
@@ -269,7 +283,7 @@
 		return reply{err: err, id: id}
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	data, err := read(response.Body)
 	return reply{response.StatusCode, response.Header, string(data), id, err}
 }
 
--- a/targetconn/conn.go
+++ b/targetconn/conn.go
@@ -198,15 +198,22 @@
 
 // Do sends a request and waits for its response. The result sent reports whether
 // any byte of the request may have been written, even if err is not nil. The
-// connection is closed after an error and when the context ends.
+// connection is closed after an error and when the context ends, also while the rest
+// of the response is read.
 func (c *Conn) Do(ctx context.Context, r *Request) (response *Response, sent bool, err error) {
 	pending := &call{request: r, httpRequest: &http.Request{Method: r.Method}, done: make(chan callResult, 1)}
 	c.inFlight.Store(pending)
 	if c.closed.Load() {
 		return nil, false, &BrokenError{Problem: "closed before the request was sent", NoResponse: true}
 	}
-	stop := context.AfterFunc(ctx, c.Close)
-	defer stop()
+	stopWatching := context.AfterFunc(ctx, c.Close)
+	defer func() {
+		if err == nil && response.streamed != nil {
+			response.streamed.onEnd = stopWatching
+			return
+		}
+		stopWatching()
+	}()
 	written := make(chan error, 1)
 	if r.Body == nil || r.Size >= 0 && r.Size <= smallBodyBytes {
 		written <- c.writeRequest(r)
--- a/targetconn/endless_test.go
+++ b/targetconn/endless_test.go
@@ -109,6 +109,27 @@
 		Entry("in chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "100\r\n"+strings.Repeat("x", 256)+"\r\n"),
 	)
 
+	// Guards against a connection, and a place at the target, that are taken for ever
+	// because the body never ends and its reader never leaves.
+	DescribeTable("is cut off at the deadline in the middle of the body",
+		func(head, repeated string) {
+			began := time.Now()
+			response, err := do(serve(endless(head, repeated, closed)), targetconn.Options{})
+			Expect(err).NotTo(HaveOccurred())
+			done := make(chan error, 1)
+			go func() {
+				_, err := io.Copy(io.Discard, response.Rest)
+				done <- err
+			}()
+			Eventually(done, 2*limit).Should(Receive(HaveOccurred()), "a body that is cut must not look complete")
+			Expect(time.Since(began)).To(BeNumerically("~", limit, limit/4))
+			Eventually(closed, limit).Should(Receive())
+			Expect(response.Rest.Close()).To(Succeed())
+		},
+		Entry("without a length", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x"),
+		Entry("in chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "100\r\n"+strings.Repeat("x", 256)+"\r\n"),
+	)
+
 	// Guards against exhausting the memory of the instance: 200 connections buffered
 	// 1 MiB and more each.
 	It("gets a bounded share of the memory on 200 connections together", func() {
--- a/targetconn/response.go
+++ b/targetconn/response.go
@@ -101,6 +101,7 @@
 	io.ReadCloser
 	buffer   *bodyBuffer // the part of the body before the rest
 	complete chan bool   // receives whether the body was read to its end; capacity 1
+	onEnd    func() bool // stops closing the connection at the end of the context
 	done     bool
 }
 
@@ -122,6 +123,9 @@
 func (s *streamedBody) finish(complete bool) {
 	if !s.done {
 		s.done = true
+		if s.onEnd != nil {
+			s.onEnd()
+		}
 		s.buffer.release()
 		s.complete <- complete
 	}
