exchange: bound the head of the response to a cancel request

A target whose response to a cancel request had a head without end made the instance read 10 MiB of it, the default of net/http, for each request that was canceled at the same time. The bound is now the 64 KiB of all other responses.

The new spec failed before: a confirmation with a head of 100 KiB was taken.

--- a/exchange/cancel_test.go
+++ b/exchange/cancel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -41,4 +42,25 @@
 		Entry("a later process", "b", contract.OutcomeUnknown),
 		Entry("an unnamed process", "", contract.OutcomeUnknown),
 	)
+
+	// Guards against memory that grows with what a faulty target sends in response to
+	// cancel requests: each could read 10 MiB of a head.
+	It("does not read a head beyond the limit of other responses", func(ctx SpecContext) {
+		const headerBytes = 100 << 10
+		f := newFixture(1, func(w http.ResponseWriter, request *http.Request) {
+			w.Header().Set("Fulmarhoist-Boot-Id", "a")
+			switch request.URL.Path {
+			case "/fulmarhoist-cancel":
+				w.Header().Set("Fulmarhoist-Not-Run", "1")
+				w.Header().Set("X", strings.Repeat("x", headerBytes))
+			case "/refund":
+				<-request.Context().Done()
+			}
+		})
+		_, refusal := f.exchange(nonIdempotentTerms(time.Second)).Run(ctx, get("/first"))
+		Expect(refusal).To(BeNil())
+		_, refusal = f.exchange(nonIdempotentTerms(time.Second)).Run(context.WithoutCancel(ctx), get("/refund"))
+		Expect(refusal).NotTo(BeNil())
+		Expect(refusal.Outcome).To(Equal(contract.OutcomeUnknown), refusal.Error())
+	})
 })
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -8,6 +8,8 @@
 	"net/url"
 	"sync/atomic"
 	"time"
+
+	"fulmarhoist.example/link"
 )
 
 const (
@@ -193,7 +195,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	transport := &http.Transport{DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: true}
+	transport := &http.Transport{
+		DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: link.MaxResponseHeaderBytes,
+	}
 	request := &http.Request{
 		Method: http.MethodPost,
 		URL:    &url.URL{Scheme: "http", Host: c.address, Path: cancelPath},
--- a/link/link.go
+++ b/link/link.go
@@ -18,8 +18,8 @@
 	// DialTimeout bounds the time to open a connection. Opening one takes about
 	// 1 ms, so after a second the target is considered unresponsive.
 	DialTimeout = time.Second
-	// maxResponseHeaderBytes bounds the header block of a target's response.
-	maxResponseHeaderBytes = 64 << 10
+	// MaxResponseHeaderBytes bounds the header block of a target's response.
+	MaxResponseHeaderBytes = 64 << 10
 )
 
 // keepAlive detects within about 5 s idle connections whose state a middlebox,
@@ -135,7 +135,7 @@
 		MaxConnsPerHost:        1,
 		MaxIdleConnsPerHost:    1,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
 	}
 	return l, nil
 }
