httpapi: bound the memory for responses returned through another instance

A target that sent a body without end made the owner of a request key keep up to 3 MiB of it for each forwarded request at work; nothing bounded their sum.

The budget that the connections of the entry path share moves from targetconn to hop, and the front end has one of its own. A body that finds no memory left is dropped as one that is too long: the request is reported as answered.

--- a/daemon/wiring.go
+++ b/daemon/wiring.go
@@ -15,6 +15,7 @@
 	"fulmarhoist.example/configlog"
 	"fulmarhoist.example/contract"
 	"fulmarhoist.example/exchange"
+	"fulmarhoist.example/hop"
 	"fulmarhoist.example/httpapi"
 	"fulmarhoist.example/instance"
 	"fulmarhoist.example/lease"
@@ -109,6 +110,10 @@
 		Instance: p.Settings.Instance, Catalog: p.Catalog, Ledger: p.Ledger, Links: p.Links,
 		Crashes:   p.Crashes,
 		Forwarder: p.Cluster, Directory: p.Directory, Status: p.Status,
-		Tracer: p.Tracing, Metrics: p.Metrics,
+		Tracer: p.Tracing, Metrics: p.Metrics, Buffers: hop.NewBufferBudget(forwardedBufferBytes),
 	}
 }
+
+// forwardedBufferBytes limits the memory for response bodies that are returned through
+// other instances. It is an eighth of the memory of a small machine.
+const forwardedBufferBytes = 48 << 20
--- a/targetconn/buffer.go
+++ b/hop/buffer.go
@@ -1,4 +1,4 @@
-package targetconn
+package hop
 
 import (
 	"io"
@@ -46,28 +46,30 @@
 	}
 }
 
-// bodyBuffer holds the first part of a response body. It is not safe for
+// BodyBuffer holds the first part of a response body. It is not safe for
 // concurrent use.
-type bodyBuffer struct {
-	data     []byte
+type BodyBuffer struct {
+	Data     []byte // what has been read
 	budget   *BufferBudget
-	limit    int64 // maximum length of data
+	limit    int64 // maximum length of Data
 	reserved int64 // bytes taken from the budget
 }
 
-func newBodyBuffer(budget *BufferBudget, limit int64) *bodyBuffer {
-	return &bodyBuffer{budget: budget, limit: limit, data: make([]byte, 0, min(limit, initialBufferBytes)+1)}
+// NewBodyBuffer returns an empty buffer for at most limit bytes. A nil budget has no
+// limit.
+func NewBodyBuffer(budget *BufferBudget, limit int64) *BodyBuffer {
+	return &BodyBuffer{budget: budget, limit: limit, Data: make([]byte, 0, min(limit, initialBufferBytes)+1)}
 }
 
-// readFrom reads the body until its end, the limit, or the end of the budget. It
+// Fill reads the body until its end, the limit, or the end of the budget. It
 // reports whether it has read the whole body.
-func (b *bodyBuffer) readFrom(body io.Reader) (complete bool, err error) {
+func (b *BodyBuffer) Fill(body io.Reader) (complete bool, err error) {
 	for {
-		if len(b.data) == cap(b.data) && !b.grow() {
+		if len(b.Data) == cap(b.Data) && !b.grow() {
 			return false, nil
 		}
-		n, err := body.Read(b.data[len(b.data):cap(b.data)])
-		b.data = b.data[:len(b.data)+n]
+		n, err := body.Read(b.Data[len(b.Data):cap(b.Data)])
+		b.Data = b.Data[:len(b.Data)+n]
 		if err == io.EOF {
 			return true, nil
 		}
@@ -80,9 +82,9 @@
 // grow doubles the capacity of the buffer up to the limit plus one byte, which
 // tells a body of the limit's length from a longer one. It returns false at the
 // limit or if the budget does not allow it.
-func (b *bodyBuffer) grow() bool {
-	size := min(2*int64(cap(b.data)), b.limit+1)
-	if size <= int64(cap(b.data)) {
+func (b *BodyBuffer) grow() bool {
+	size := min(2*int64(cap(b.Data)), b.limit+1)
+	if size <= int64(cap(b.Data)) {
 		return false
 	}
 	if beyond := size - unbudgetedBufferBytes - b.reserved; beyond > 0 {
@@ -91,14 +93,14 @@
 		}
 		b.reserved += beyond
 	}
-	grown := make([]byte, len(b.data), size)
-	copy(grown, b.data)
-	b.data = grown
+	grown := make([]byte, len(b.Data), size)
+	copy(grown, b.Data)
+	b.Data = grown
 	return true
 }
 
-// release returns the reserved bytes to the budget.
-func (b *bodyBuffer) release() {
+// Release returns the reserved bytes to the budget.
+func (b *BodyBuffer) Release() {
 	b.budget.release(b.reserved)
 	b.reserved = 0
 }
--- a/httpapi/forward.go
+++ b/httpapi/forward.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,6 +14,7 @@
 
 	"fulmarhoist.example/contract"
 	"fulmarhoist.example/exchange"
+	"fulmarhoist.example/hop"
 )
 
 // maxForwardedRestBytes limits the part of a response body after the buffered
@@ -106,19 +106,20 @@
 }
 
 // readAnswer reads the rest of the response body. If the body cannot be read to
-// its end or is too long to be returned through another instance, it is dropped
-// and the request is reported as answered.
+// its end, is too long to be returned through another instance, or finds no memory
+// left in Buffers, it is dropped and the request is reported as answered.
 func (f *Front) readAnswer(response *exchange.Response) contract.Answer {
 	answer := contract.Answer{Status: response.Status, Header: endToEndHeaders(response.Header), Body: response.Body}
 	if response.Rest == nil {
 		return answer
 	}
 	defer func() { _ = response.Rest.Close() }()
-	rest, err := io.ReadAll(io.LimitReader(response.Rest, maxForwardedRestBytes))
-	if err != nil || len(rest) == maxForwardedRestBytes {
+	rest := hop.NewBodyBuffer(f.Buffers, maxForwardedRestBytes-1)
+	defer rest.Release()
+	if complete, err := rest.Fill(response.Rest); err != nil || !complete {
 		answer.Body, answer.BodyDropped = nil, true
 		return answer
 	}
-	answer.Body = append(answer.Body, rest...)
+	answer.Body = append(answer.Body, rest.Data...)
 	return answer
 }
--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -18,6 +18,7 @@
 
 	"fulmarhoist.example/contract"
 	"fulmarhoist.example/exchange"
+	"fulmarhoist.example/hop"
 	"fulmarhoist.example/service"
 	"fulmarhoist.example/telemetry"
 )
@@ -60,6 +61,9 @@
 	Status    InstanceStatus
 	Tracer    trace.Tracer
 	Metrics   *telemetry.Metrics
+	// Buffers limits the memory for response bodies that are returned through other
+	// instances; nil has no limit.
+	Buffers *hop.BufferBudget
 }
 
 var serverSpan = trace.WithSpanKind(trace.SpanKindServer)
--- a/targetconn/conn.go
+++ b/targetconn/conn.go
@@ -144,7 +144,7 @@
 	// belongs to no request. It must not read the body.
 	OnResponse func(*http.Response)
 	// Buffers limits the memory that the connections share for response bodies.
-	Buffers *BufferBudget
+	Buffers *hop.BufferBudget
 	// Dial opens the network connection; if it is nil, it is opened over TCP.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
--- a/targetconn/endless_test.go
+++ b/targetconn/endless_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"fulmarhoist.example/hop"
 	"fulmarhoist.example/targetconn"
 )
 
@@ -138,7 +139,7 @@
 		// budget, and a buffer and its successor exist together while it grows.
 		const bound = 2*budgetBytes + connections*(2*64<<10+32<<10)
 		address := serve(endless("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", "x", closed))
-		budget := targetconn.NewBufferBudget(budgetBytes)
+		budget := hop.NewBufferBudget(budgetBytes)
 		runtime.GC()
 		before := heapInUse()
 		var mu sync.Mutex
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"fulmarhoist.example/hop"
 	"fulmarhoist.example/target"
 )
 
@@ -17,7 +18,7 @@
 	mu      sync.Mutex
 	pools   map[*target.Target]*pool
 	options PoolOptions
-	buffers *BufferBudget
+	buffers *hop.BufferBudget
 }
 
 // NoticeParser decodes what the head of a response says about the requests that
@@ -43,7 +44,7 @@
 
 // NewPools returns an empty set of pools.
 func NewPools(options PoolOptions) *Pools {
-	return &Pools{pools: map[*target.Target]*pool{}, options: options, buffers: NewBufferBudget(bufferBudgetBytes)}
+	return &Pools{pools: map[*target.Target]*pool{}, options: options, buffers: hop.NewBufferBudget(bufferBudgetBytes)}
 }
 
 // pool holds the idle connections of one target, the most recently used last.
--- a/targetconn/response.go
+++ b/targetconn/response.go
@@ -53,15 +53,15 @@
 			continue
 		}
 		c.limit.SetLimit(hop.Unlimited)
-		body := newBodyBuffer(c.options.Buffers, pending.request.bodyLimit(head))
-		complete, err := body.readFrom(head.Body)
+		body := hop.NewBodyBuffer(c.options.Buffers, pending.request.bodyLimit(head))
+		complete, err := body.Fill(head.Body)
 		if err != nil {
-			body.release()
+			body.Release()
 			return nil, &BrokenError{Problem: "response body ended early", Err: err}
 		}
-		response := &Response{HTTP: head, Body: body.data}
+		response := &Response{HTTP: head, Body: body.Data}
 		if complete {
-			body.release()
+			body.Release()
 		} else {
 			response.streamed = &streamedBody{ReadCloser: head.Body, buffer: body, complete: make(chan bool, 1)}
 			response.Rest = response.streamed
@@ -99,9 +99,9 @@
 // body ended.
 type streamedBody struct {
 	io.ReadCloser
-	buffer   *bodyBuffer // the part of the body before the rest
-	complete chan bool   // receives whether the body was read to its end; capacity 1
-	onEnd    func() bool // stops closing the connection at the end of the context
+	buffer   *hop.BodyBuffer // the part of the body before the rest
+	complete chan bool       // receives whether the body was read to its end; capacity 1
+	onEnd    func() bool     // stops closing the connection at the end of the context
 	done     bool
 }
 
@@ -126,7 +126,7 @@
 		if s.onEnd != nil {
 			s.onEnd()
 		}
-		s.buffer.release()
+		s.buffer.Release()
 		s.complete <- complete
 	}
 }
