exchange: keep a silent link if no other attempt may follow

Callers got "unknown" although the target was at work.

The attempt now uses the search for a replacement, from the same time on, and the watchdog is gone; what is left of it cancels requests that are not idempotent. A response that is streamed ends at the deadline, as its request does, and no longer at a pause of the target. While the instance drains, no attempt is ended.

--- a/exchange/admission.go
+++ b/exchange/admission.go
@@ -41,24 +41,15 @@
 			refusal.RetryAfter = err.RetryAfter
 			return nil, refusal
 		}
-		if reserved = x.connect(ctx, permit); reserved != nil {
-			return reserved, nil
+		if attempt := x.Sender.Reserve(ctx, x, permit); attempt != nil {
+			return &reservation{Attempt: attempt, target: permit.Target}, nil
 		}
+		x.ReleasePermit(permit)
+		x.markTried(permit.Target)
 		sleep(ctx, linkOpenTime)
 	}
 }
 
-// connect reserves a connection to the target of the permit. If there is none, it
-// releases the permit and returns nil.
-func (x *Exchange) connect(ctx context.Context, permit target.Permit) *reservation {
-	if attempt := x.Sender.Reserve(ctx, x, permit); attempt != nil {
-		return &reservation{Attempt: attempt, target: permit.Target}
-	}
-	x.ReleasePermit(permit)
-	x.markTried(permit.Target)
-	return nil
-}
-
 // abandon gives a reservation back unused, unless it is nil.
 func (r *reservation) abandon() {
 	if r != nil {
--- a/exchange/attempt.go
+++ b/exchange/attempt.go
@@ -38,20 +38,20 @@
 	if set == nil {
 		return nil
 	}
-	taken := takeLink(set, x.silentSince)
+	taken := takeLink(set, x.slowSince)
 	if taken == nil {
 		return nil
 	}
 	return &linkAttempt{exchange: x, links: l, permit: permit, set: set, link: taken, began: time.Now()}
 }
 
-// takeLink takes an idle link. If an earlier attempt was ended because its link
-// was silent, it takes none that may have become silent together with that one.
-func takeLink(set *link.Set, silentSince time.Time) *link.Link {
-	if silentSince.IsZero() {
+// takeLink takes an idle link. If an earlier attempt was slow, as its link may be
+// silent, it takes none that may have become silent together with that one.
+func takeLink(set *link.Set, slowSince time.Time) *link.Link {
+	if slowSince.IsZero() {
 		return set.Take()
 	}
-	return set.TakeVerifiedSince(silentSince)
+	return set.TakeVerifiedSince(slowSince)
 }
 
 // linkAttempt is one attempt on one link. It implements Attempt and must end
@@ -85,30 +85,23 @@
 // Abandon implements Attempt.
 func (a *linkAttempt) Abandon() { a.finish(true, a.began) }
 
-// SlowAfter implements Attempt: the watchdog ends attempts on silent links.
-func (a *linkAttempt) SlowAfter() time.Duration { return 0 }
-
 // Send implements Attempt.
 func (a *linkAttempt) Send(ctx context.Context, request *Request, body *Body) (*Response, contract.Failure, error) {
 	attemptID := newAttemptID()
 	a.link.SetInFlight(&link.InFlightRequest{Fingerprint: func() contract.Fingerprint { return FingerprintOf(a.exchange, request, body) }})
-	watch := a.startWatchdog(ctx, attemptID)
-	out := newAttemptRequest(watch.ctx, a.exchange, request, body, attemptID)
-	watch.watchRequest(out)
+	canceler := a.startCanceler(ctx, attemptID)
+	out := newAttemptRequest(canceler.ctx, a.exchange, request, body, attemptID)
 	if !a.permit.MaySend(time.Now()) {
-		watch.end()
+		canceler.end()
 		a.finish(true, time.Time{})
 		return nil, contract.FailureNotSent, &StalePermitError{a.permit.Target.Spec.Name}
 	}
 	httpResponse, sent, err := a.link.Send(out)
 	if err != nil {
-		canceled := watch.end()
-		if watch.silent.Load() {
-			a.exchange.silentSince = a.began
-		}
+		canceled := canceler.end()
 		return nil, a.endFailed(sent, canceled), fmt.Errorf("send to target %s: %w", a.permit.Target.Spec.Name, err)
 	}
-	httpResponse.Body = watch.watchResponse(httpResponse.Body)
+	httpResponse.Body = canceler.watchResponse(httpResponse.Body)
 	if err := checkAttemptID(httpResponse, attemptID); err != nil {
 		return nil, a.discard(httpResponse), err
 	}
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -95,8 +95,7 @@
 	// Abandon returns the connection unused.
 	Abandon()
 	// SlowAfter returns the time without a response after which the request looks
-	// for another target, if it may be sent again; 0 if the Sender ends attempts
-	// whose targets are silent by itself.
+	// for another target, if it may be sent again.
 	SlowAfter() time.Duration
 }
 
@@ -134,7 +133,7 @@
 
 	tried          service.Tried // all targets to avoid, including crashedTargets
 	crashedTargets service.Tried // targets that crashed while running this request
-	silentSince    time.Time     // start of the last attempt whose link was silent; zero if there was none
+	slowSince      time.Time     // start of the last attempt that was slow; zero if there was none
 	size           int64         // of the body, in bytes; -1 if unknown
 	failedResponse *Response     // last error response of a target
 	records        []AttemptRecord
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"fulmarhoist.example/config"
 	"fulmarhoist.example/contract"
 	"fulmarhoist.example/exchange"
 )
@@ -120,6 +121,32 @@
 		}
 	}, SpecTimeout(time.Minute))
 
+	// Guards against a request that is broken off at a target at work, whose response
+	// is lost, although no other attempt may follow.
+	DescribeTable("waits for a target that is silent for long if no other attempt may follow",
+		func(ctx SpecContext, prepare func(f *fixture, x *exchange.Exchange)) {
+			slow := serve(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(time.Second) // the silence limit is a quarter of 3 s
+				_, _ = io.WriteString(w, "ok")
+			})
+			f := newFixtureAt(2, slow, slow)
+			x := f.exchange(idempotentTerms(3 * time.Second))
+			prepare(f, x)
+			response, refusal := x.Run(ctx, get("/status"))
+			Expect(refusal).To(BeNil())
+			Expect(string(response.Body)).To(Equal("ok"))
+			Expect(x.Contract.Attempts()).To(Equal(1))
+		},
+		Entry("as the request has no retries", func(_ *fixture, x *exchange.Exchange) {
+			x.Contract.Terms.Retries = 0
+			x.Contract = contract.New(x.Contract.Terms)
+		}),
+		Entry("as the retry budget is spent", func(_ *fixture, x *exchange.Exchange) { x.Service.RetryBudget.SetPercent(0) }),
+		Entry("as the other target is gone", func(f *fixture, _ *exchange.Exchange) {
+			f.apply(func(c *config.Configuration) { c.Services[0].Targets = c.Services[0].Targets[:1] })
+		}),
+	)
+
 	// Guards against a request that hangs until its deadline because a target
 	// accepts connections and never responds.
 	It("retries an idempotent request on another target if its link is silent", func(ctx SpecContext) {
--- a/exchange/replacement.go
+++ b/exchange/replacement.go
@@ -25,12 +25,13 @@
 // one and ends the attempt only once it has reserved a connection to that one, which
 // is then x.replacement. A target at work is thus given up only for another one.
 func (x *Exchange) send(ctx context.Context, reserved *reservation, request *Request, body *Body) (*Response, contract.Failure, error) {
-	slowAfter := reserved.SlowAfter()
-	if slowAfter <= 0 || !x.Contract.MayRetry() || !body.kept() {
+	if !x.Contract.MayRetry() || !body.kept() {
 		return reserved.Send(ctx, request, body)
 	}
 	attemptCtx, endAttempt := context.WithCancelCause(ctx)
-	search := x.startSearch(ctx, endAttempt, &slowAttempt{target: reserved.target, request: request, body: body, slowAfter: slowAfter})
+	search := x.startSearch(ctx, endAttempt, &slowAttempt{
+		target: reserved.target, request: request, body: body, began: time.Now(), slowAfter: reserved.SlowAfter(),
+	})
 	response, failure, err := reserved.Send(attemptCtx, request, body)
 	found := search.stop()
 	if found != nil && err == nil && response.Rest != nil {
@@ -51,6 +52,7 @@
 	target    *target.Target
 	request   *Request
 	body      *Body
+	began     time.Time
 	slowAfter time.Duration // time after which the attempt counts as slow
 }
 
@@ -103,34 +105,41 @@
 // returns nil.
 func (x *Exchange) findReplacement(ctx context.Context, slow *slowAttempt) *reservation {
 	x.markTried(slow.target)
-	for counted := false; ctx.Err() == nil; sleep(ctx, slow.slowAfter) {
-		if found := x.tryReplacement(ctx, slow); found != nil {
+	x.slowSince = slow.began
+	for counted := false; ctx.Err() == nil; {
+		found, pause := x.tryReplacement(ctx, slow)
+		if found != nil {
 			return found
 		}
 		if !counted && ctx.Err() == nil {
 			counted = true
 			slow.target.RecordResult(true)
 		}
+		sleep(ctx, pause)
 	}
 	return nil
 }
 
 // tryReplacement looks for a replacement once, waiting in the queue if no target has
-// capacity.
-func (x *Exchange) tryReplacement(ctx context.Context, slow *slowAttempt) *reservation {
+// capacity. If it finds none, it returns the time after which to look again.
+func (x *Exchange) tryReplacement(ctx context.Context, slow *slowAttempt) (found *reservation, pause time.Duration) {
 	if !x.mayReplace(slow) {
-		return nil
+		return nil, slow.slowAfter
 	}
 	permit, err := x.acquirePermit(ctx, x.chooseUntried)
 	if err != nil {
-		return nil
+		return nil, slow.slowAfter
+	}
+	attempt := x.Sender.Reserve(ctx, x, permit)
+	if attempt == nil {
+		x.ReleasePermit(permit)
+		return nil, recheckInterval // a connection may be about to be opened
 	}
-	reserved := x.connect(ctx, permit)
-	if reserved != nil && (!x.mayReplace(slow) || !x.Service.RetryBudget.Allow(time.Now())) {
-		reserved.abandon()
-		return nil
+	if !x.mayReplace(slow) || !x.Service.RetryBudget.Allow(time.Now()) {
+		attempt.Abandon()
+		return nil, slow.slowAfter
 	}
-	return reserved
+	return &reservation{Attempt: attempt, target: permit.Target}, 0
 }
 
 // mayReplace reports whether a slow attempt may be ended for one at another target,
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// minSilence and silenceDelayFactor determine the time without progress
+	// minSilence and silenceDelayFactor determine the time without a response
 	// after which the link of an idempotent request counts as silent. The
 	// factor is applied to the average response time of the class or the
 	// expected delay of the target, if that is longer. A connection whose state
@@ -21,7 +21,7 @@
 	// target takes only a few times the average.
 	minSilence         = 250 * time.Millisecond
 	silenceDelayFactor = 20
-	// silenceDeadlineDivisor gives the time without progress instead for
+	// silenceDeadlineDivisor gives the time without a response instead for
 	// requests that may wait, because their response times vary too much for an
 	// average, and while no average is known: the time to the deadline divided
 	// by it.
@@ -37,58 +37,9 @@
 	cancelPath = "/fulmarhoist-cancel"
 )
 
-// watchdog ends an attempt that makes no progress.
-//
-// For an idempotent request it cancels the attempt if nothing has been sent or
-// received for silenceLimit, so that another attempt can follow at once. Each
-// part of a body counts as progress. The time spent waiting for the caller, to
-// send or to receive a part, does not count.
-//
-// For any other request it asks the target, over a new connection and shortly
-// before the deadline, to cancel the request. Only a confirmation that the
-// request had not started ends the attempt and makes it count as not run.
-type watchdog struct {
-	ctx             context.Context
-	cancel          context.CancelFunc
-	silenceLimit    time.Duration // 0 if the request is not idempotent
-	timer           *time.Timer
-	cancelDone      chan struct{} // closed at the end of the cancel request; nil if the request is idempotent
-	canceled        atomic.Bool   // the target confirmed that the request has not run
-	silent          atomic.Bool   // the attempt was ended for lack of progress
-	responseStarted atomic.Bool
-	ended           atomic.Bool
-}
-
-// startWatchdog starts the watchdog of the attempt.
-func (a *linkAttempt) startWatchdog(ctx context.Context, attemptID string) *watchdog {
-	w := &watchdog{}
-	w.ctx, w.cancel = context.WithCancel(ctx)
-	if a.exchange.Contract.Terms.Idempotent {
-		w.silenceLimit = a.silenceLimit()
-		w.timer = time.AfterFunc(w.silenceLimit, func() {
-			w.silent.Store(true)
-			w.cancel()
-		})
-		return w
-	}
-	left := time.Until(a.exchange.Contract.Terms.Deadline)
-	w.cancelDone = make(chan struct{})
-	request := cancelRequest{
-		address: a.permit.Target.Spec.Address, attemptID: attemptID, bootID: a.set.BootID(a.link),
-	}
-	w.timer = time.AfterFunc(left-min(cancelMargin, left/4), func() {
-		defer close(w.cancelDone)
-		if request.confirm() {
-			w.canceled.Store(true)
-			w.cancel()
-		}
-	})
-	return w
-}
-
-// silenceLimit returns the time without progress after which the link counts as
-// silent.
-func (a *linkAttempt) silenceLimit() time.Duration {
+// SlowAfter implements Attempt. An idempotent request whose link is silent for that
+// long needs another one; any other request is sent once.
+func (a *linkAttempt) SlowAfter() time.Duration {
 	fallback := max(minSilence, a.exchange.Contract.Terms.Deadline.Sub(a.began)/silenceDeadlineDivisor)
 	average, known := a.exchange.Service.ResponseTimes.Average(a.exchange.Contract.Terms.Class)
 	if !known || a.exchange.QueueRequest.Rank != 0 {
@@ -97,84 +48,66 @@
 	return max(minSilence, silenceDelayFactor*max(average, a.permit.Target.ExpectedDelay(a.began)))
 }
 
-// resume restarts the timer: the target is expected to make progress.
-func (w *watchdog) resume() {
-	if w.silenceLimit > 0 {
-		w.timer.Reset(w.silenceLimit)
-	}
-}
-
-// suspend stops the timer while the attempt waits for the caller.
-func (w *watchdog) suspend() {
-	if w.silenceLimit > 0 {
-		w.timer.Stop()
-	}
+// canceler asks the target, over a new connection and shortly before the deadline, to
+// cancel a request that is not idempotent. Only a confirmation that the request had
+// not started ends the attempt and makes it count as not run.
+type canceler struct {
+	ctx      context.Context // of the attempt
+	cancel   context.CancelFunc
+	timer    *time.Timer   // nil if the request is idempotent
+	done     chan struct{} // closed at the end of the cancel request
+	canceled atomic.Bool   // the target confirmed that the request has not run
+	ended    atomic.Bool
 }
 
-// end stops the watchdog and reports whether the target confirmed that the
-// request has not run and never will.
-func (w *watchdog) end() (canceled bool) {
-	if w.ended.Swap(true) {
-		return w.canceled.Load()
+// startCanceler starts the canceler of the attempt, which does nothing if the request
+// is idempotent.
+func (a *linkAttempt) startCanceler(ctx context.Context, attemptID string) *canceler {
+	c := &canceler{}
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	if a.exchange.Contract.Terms.Idempotent {
+		return c
 	}
-	if !w.timer.Stop() && w.cancelDone != nil {
-		<-w.cancelDone
+	left := time.Until(a.exchange.Contract.Terms.Deadline)
+	c.done = make(chan struct{})
+	request := cancelRequest{
+		address: a.permit.Target.Spec.Address, attemptID: attemptID, bootID: a.set.BootID(a.link),
 	}
-	w.cancel()
-	return w.canceled.Load()
+	c.timer = time.AfterFunc(left-min(cancelMargin, left/4), func() {
+		defer close(c.done)
+		if request.confirm() {
+			c.canceled.Store(true)
+			c.cancel()
+		}
+	})
+	return c
 }
 
-// watchRequest wraps the body of the request, which is read from the caller, so
-// that reads suspend the watchdog.
-func (w *watchdog) watchRequest(request *http.Request) {
-	if request.Body != nil && w.silenceLimit > 0 {
-		request.Body = &requestBody{request.Body, w}
+// end ends the context of the attempt, and reports whether the target confirmed that
+// the request has not run and never will.
+func (c *canceler) end() (canceled bool) {
+	if c.ended.Swap(true) {
+		return c.canceled.Load()
 	}
-}
-
-// requestBody suspends the watchdog while it is read.
-type requestBody struct {
-	io.ReadCloser
-	watch *watchdog
-}
-
-func (b *requestBody) Read(p []byte) (int, error) {
-	// A target may respond before it has read the whole body. From then on the
-	// response body controls the watchdog.
-	if !b.watch.responseStarted.Load() {
-		b.watch.suspend()
-		defer func() {
-			if !b.watch.responseStarted.Load() {
-				b.watch.resume()
-			}
-		}()
+	if c.timer != nil && !c.timer.Stop() {
+		<-c.done
 	}
-	return b.ReadCloser.Read(p)
+	c.cancel()
+	return c.canceled.Load()
 }
 
-// watchResponse wraps the body of the response, so that the watchdog runs during
-// reads only and ends when the body is closed.
-func (w *watchdog) watchResponse(body io.ReadCloser) io.ReadCloser {
-	w.responseStarted.Store(true)
-	w.suspend()
-	return &responseBody{body, w}
-}
+// watchResponse wraps the body of a response, so that the canceler ends with it.
+func (c *canceler) watchResponse(body io.ReadCloser) io.ReadCloser { return &responseBody{body, c} }
 
-// responseBody runs the watchdog while it is read.
+// responseBody ends the canceler when it is closed.
 type responseBody struct {
 	io.ReadCloser
-	watch *watchdog
-}
-
-func (b *responseBody) Read(p []byte) (int, error) {
-	b.watch.resume()
-	defer b.watch.suspend()
-	return b.ReadCloser.Read(p)
+	canceler *canceler
 }
 
 func (b *responseBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.watch.end()
+	b.canceler.end()
 	return err
 }
 
--- a/httpapi/front.go
+++ b/httpapi/front.go
@@ -192,6 +192,7 @@
 		Tracer:       f.Tracer,
 		Observer:     f.Metrics,
 		Isolated:     f.Status.Isolated,
+		Draining:     f.Status.Leaving,
 	}
 }
 
