exchange: release a replacement that comes too late

Two faults of the search for a replacement, found by reading it again:

- If the deadline passed just as another target had been reserved, its permit and connection were never given back, and the target had one place less for ever.
- An attempt ends 5 ms before the deadline, so one that had no response took a retry from the budget for an attempt that could not be made.

Specs: "gives the other target back if the deadline has passed" and "takes no retry at the end of its time" failed before.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -274,10 +274,17 @@
 	}
 	now := time.Now()
 	refusal = x.Contract.FailAttempt(now, failure)
+	if refusal == nil && x.Contract.Terms.Deadline.Sub(now) < minRetryTime {
+		refusal = x.Contract.Refuse(contract.ReasonDeadline)
+	}
+	if refusal != nil {
+		x.replacement.abandon()
+		return nil, refusal, false
+	}
 	if x.replacement != nil {
-		return nil, refusal, refusal == nil
+		return nil, nil, true
 	}
-	if refusal == nil && failure != contract.FailureNotSent && !x.Service.RetryBudget.Allow(now) {
+	if failure != contract.FailureNotSent && !x.Service.RetryBudget.Allow(now) {
 		refusal = x.Contract.Refuse(contract.ReasonRetriesSpent)
 	}
 	if refusal == nil && failure == contract.FailureLost {
@@ -305,6 +312,9 @@
 }
 
 const (
+	// minRetryTime is the time before the deadline from which on a request is not
+	// sent again: no target could respond in time.
+	minRetryTime = 10 * time.Millisecond
 	// linkOpenTime is the time needed to open a connection. If there is a permit
 	// but no link, a link is being replaced.
 	linkOpenTime = time.Millisecond
--- a/exchange/replacement.go
+++ b/exchange/replacement.go
@@ -143,8 +143,9 @@
 }
 
 // mayReplace reports whether a slow attempt may be ended for one at another target,
-// which must be able to respond in time. While this instance drains, none is: the other target may decline the request, and
-// the response of the slow one would be lost.
+// which must be able to respond in time. While this instance drains, none is ended:
+// the other target may decline the request, and the response of the slow one would be
+// lost.
 func (x *Exchange) mayReplace(slow *slowAttempt) bool {
 	now := time.Now()
 	if x.isolated() || x.Draining != nil && x.Draining() || !x.Service.RetryBudget.Available(now) {
--- a/exchange/replacement_test.go
+++ b/exchange/replacement_test.go
@@ -34,6 +34,11 @@
 	return &scriptedAttempt{sender: s, x: x, permit: permit}
 }
 
+// targetSilentError is the error of an attempt that got no response.
+type targetSilentError struct{}
+
+func (*targetSilentError) Error() string { return "no response" }
+
 type scriptedAttempt struct {
 	sender *scriptedSender
 	x      *exchange.Exchange
@@ -126,6 +131,34 @@
 		expectAllReleased()
 	})
 
+	// Guards against a permit that is never released, because the deadline passes as
+	// another target takes over.
+	It("gives the other target back if the deadline has passed", func(ctx SpecContext) {
+		x.Contract = contract.New(idempotentTerms(100 * time.Millisecond))
+		_, refusal := run(ctx, func(ctx context.Context) (*exchange.Response, contract.Failure, error) {
+			<-ctx.Done()
+			time.Sleep(time.Until(x.Contract.Terms.Deadline))
+			return nil, contract.FailureLost, context.Cause(ctx)
+		})
+		Expect(refusal.Reason).To(Equal(contract.ReasonDeadline))
+		Expect(sent).To(HaveLen(1))
+		expectAllReleased()
+	})
+
+	// Guards against retries that are taken from the budget for requests that have no
+	// time left for another attempt.
+	It("takes no retry at the end of its time", func(ctx SpecContext) {
+		x.Service.RetryBudget.SetMinimum(1)
+		x.Contract = contract.New(idempotentTerms(100 * time.Millisecond))
+		x.Draining = func() bool { return true }
+		_, refusal := run(ctx, func(ctx context.Context) (*exchange.Response, contract.Failure, error) {
+			time.Sleep(time.Until(x.Contract.Terms.Deadline.Add(-4 * time.Millisecond)))
+			return nil, contract.FailureLost, &targetSilentError{}
+		})
+		Expect(refusal.Reason).To(Equal(contract.ReasonDeadline))
+		Expect(x.Service.RetryBudget.Available(time.Now())).To(BeTrue())
+	})
+
 	// Guards against an attempt that is given up for one that cannot succeed.
 	DescribeTable("is left alone if no other attempt may follow",
 		func(prepare func()) {
