--- a/exchange/admission.go
+++ b/exchange/admission.go
@@ -23,26 +23,26 @@
 
 // reserve chooses a target for the next attempt and reserves a connection to it. It
 // refuses a request that makes targets crash, or that gets no target.
-func (x *Exchange) reserve(ctx context.Context, request *Request, body *Body) (*reservation, *contract.Refusal) {
+func (x *Exchange) reserve(ctx context.Context, request *Request, body *Body) (reservation, *contract.Refusal) {
 	for {
-		reserved := x.replacement
+		replacement := x.replacement
 		x.replacement = nil
 		if fingerprint, refused := x.refusedForCrashes(request, body); refused {
-			reserved.abandon()
+			replacement.abandon()
 			x.fingerprint = fingerprint.String()
-			return nil, x.refuseCrashing()
+			return reservation{}, x.refuseCrashing()
 		}
-		if reserved != nil {
-			return reserved, nil
+		if replacement != nil {
+			return *replacement, nil
 		}
 		permit, err := x.admit(ctx)
 		if err != nil {
 			refusal := x.Contract.Refuse(err.Reason)
 			refusal.RetryAfter = err.RetryAfter
-			return nil, refusal
+			return reservation{}, refusal
 		}
 		if attempt := x.Sender.Reserve(ctx, x, permit); attempt != nil {
-			return &reservation{Attempt: attempt, target: permit.Target}, nil
+			return reservation{Attempt: attempt, target: permit.Target}, nil
 		}
 		x.ReleasePermit(permit)
 		x.markTried(permit.Target)
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -243,7 +243,7 @@
 
 // attempt sends the request once. The result again reports whether another
 // attempt may follow.
-func (x *Exchange) attempt(ctx context.Context, reserved *reservation, request *Request, body *Body) (response *Response, refusal *contract.Refusal, again bool) {
+func (x *Exchange) attempt(ctx context.Context, reserved reservation, request *Request, body *Body) (response *Response, refusal *contract.Refusal, again bool) {
 	chosen := reserved.target
 	began := time.Now()
 	if err := x.Contract.BeginAttempt(began); err != nil {
--- a/exchange/watch.go
+++ b/exchange/watch.go
@@ -52,9 +52,9 @@
 // cancel a request that is not idempotent. Only a confirmation that the request had
 // not started ends the attempt and makes it count as not run.
 type canceler struct {
-	ctx      context.Context // of the attempt
-	cancel   context.CancelFunc
-	timer    *time.Timer   // nil if the request is idempotent
+	ctx      context.Context    // of the attempt
+	cancel   context.CancelFunc // nil if the request is idempotent
+	timer    *time.Timer
 	done     chan struct{} // closed at the end of the cancel request
 	canceled atomic.Bool   // the target confirmed that the request has not run
 	ended    atomic.Bool
@@ -63,11 +63,11 @@
 // startCanceler starts the canceler of the attempt, which does nothing if the request
 // is idempotent.
 func (a *linkAttempt) startCanceler(ctx context.Context, attemptID string) *canceler {
-	c := &canceler{}
-	c.ctx, c.cancel = context.WithCancel(ctx)
 	if a.exchange.Contract.Terms.Idempotent {
-		return c
+		return &canceler{ctx: ctx}
 	}
+	c := &canceler{}
+	c.ctx, c.cancel = context.WithCancel(ctx)
 	left := time.Until(a.exchange.Contract.Terms.Deadline)
 	c.done = make(chan struct{})
 	request := cancelRequest{
@@ -83,13 +83,13 @@
 	return c
 }
 
-// end ends the context of the attempt, and reports whether the target confirmed that
+// end ends the context of an attempt that is not idempotent, and reports whether the target confirmed that
 // the request has not run and never will.
 func (c *canceler) end() (canceled bool) {
-	if c.ended.Swap(true) {
+	if c.cancel == nil || c.ended.Swap(true) {
 		return c.canceled.Load()
 	}
-	if c.timer != nil && !c.timer.Stop() {
+	if !c.timer.Stop() {
 		<-c.done
 	}
 	c.cancel()
